--- a/bench/ledger/main.cpp
+++ b/bench/ledger/main.cpp
@@ -14,7 +14,7 @@
 
 #include "http/http.h"
 #include "ledger/ledger.h"
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 #include "storewrites.h"
 #include "upstreams/upstreams.h"
 #include "wire/wire.h"
@@ -89,7 +89,7 @@
     }
 
     http::EventLoop m_loop;
-    platform::testing::FakeObjectStore m_store;
+    externals::testing::FakeObjectStore m_store;
     std::vector<std::unique_ptr<wire::Http2Transport>> m_transports;
     std::vector<wire::Peer> m_peers;
     std::vector<std::unique_ptr<ledger::Bills>> m_bills;
--- a/bench/routing/qualitybench.cpp
+++ b/bench/routing/qualitybench.cpp
@@ -27,7 +27,7 @@
 struct PendingRating
 {
     kernel::Instant due;
-    platform::Rating rating;
+    externals::Rating rating;
 };
 
 /// When the rating service is down.
@@ -152,7 +152,7 @@
     void fetchRatings()
     {
         m_fetchedAt = m_now;
-        std::vector<platform::Rating> ratings;
+        std::vector<externals::Rating> ratings;
         while (!m_pending.empty() && m_pending.front().due <= m_now) {
             ratings.push_back(m_pending.front().rating);
             m_pending.pop_front();
--- a/cmake/acaciasaillibrary.cmake
+++ b/cmake/acaciasaillibrary.cmake
@@ -20,7 +20,7 @@
     cmake_parse_arguments(ARG "" "" "SOURCES;DEPENDS;TESTS;TEST_DEPENDS" ${ARGN})
     add_library(${name} STATIC ${ARG_SOURCES})
     target_link_libraries(${name} PUBLIC acaciasail_options ${ARG_DEPENDS})
-    if(ARG_TESTS)
+    if(ARG_TESTS AND NOT ACACIASAIL_ROUTER_ONLY)
         add_executable(${name}_tests ${ARG_TESTS})
         target_link_libraries(${name}_tests PRIVATE
             ${name} ${ARG_TEST_DEPENDS} external::rapidcheck GTest::gtest GTest::gtest_main)
--- a/scenarios/driver/driver.cpp
+++ b/scenarios/driver/driver.cpp
@@ -6,7 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/table.h"
 
 namespace acaciasail::scenarios {
@@ -71,9 +71,9 @@
         , m_client(m_loop)
         , m_seed(seed)
     {
-        platform::PlatformOptions options;
+        externals::PlatformOptions options;
         options.endpoint = fleet.platform;
-        m_platform = platform::makePlatform(m_client, m_loop.scheduler(), options);
+        m_platform = externals::makePlatform(m_client, m_loop.scheduler(), options);
     }
 
     Outcome run();
@@ -102,7 +102,7 @@
     http::EventLoop m_loop;
     http::Client m_client;
     std::uint64_t m_seed;
-    platform::Platform m_platform;
+    externals::Platform m_platform;
     std::vector<std::unique_ptr<Sending>> m_sendings;
     std::vector<std::unique_ptr<Call>> m_calls;
     std::map<std::string, std::string> m_sessions;
--- a/src/app/ctl/billscommand.cpp
+++ b/src/app/ctl/billscommand.cpp
@@ -54,13 +54,13 @@
 {
     if (const auto missing = session.requirePlatform())
         return *missing;
-    const auto list = session.wait<platform::ObjectList>([&](auto callback) {
+    const auto list = session.wait<externals::ObjectList>([&](auto callback) {
         session.platform().objects.list(std::string(ledger::billPrefix), callback);
     });
     if (!list.ok())
         return session.fail(list.error());
     ledger::BillSet bills;
-    for (const platform::StoredObject &object : list.value().objects) {
+    for (const externals::StoredObject &object : list.value().objects) {
         const auto added = kernel::capture([&] { return ledger::addBatch(bills, object.value); });
         if (!added.ok())
             return session.fail({ added.error().code, object.key + ": " + added.error().message });
--- a/src/app/ctl/session.cpp
+++ b/src/app/ctl/session.cpp
@@ -30,7 +30,7 @@
     , m_client(m_loop)
 {
     if (options.platform) {
-        m_platform = platform::makePlatform(m_client, m_loop.scheduler(),
+        m_platform = externals::makePlatform(m_client, m_loop.scheduler(),
                                             { .endpoint = *options.platform });
     }
 }
--- a/src/app/ctl/session.h
+++ b/src/app/ctl/session.h
@@ -10,7 +10,7 @@
 #include "ctl/options.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 
 namespace acaciasail::ctl {
 
@@ -25,7 +25,7 @@
     std::ostream &out() { return m_out; }
     std::ostream &err() { return m_err; }
     http::EventLoop &loop() { return m_loop; }
-    platform::Platform &platform() { return m_platform; }
+    externals::Platform &platform() { return m_platform; }
 
     /// Prints an error and gives its exit code.
     ExitCode fail(const kernel::Error &error);
@@ -56,7 +56,7 @@
     std::ostream &m_err;
     http::EventLoop &m_loop;
     http::Client m_client;
-    platform::Platform m_platform;
+    externals::Platform m_platform;
 };
 
 } // namespace acaciasail::ctl
--- a/src/app/daemon/findingsmodule.cpp
+++ b/src/app/daemon/findingsmodule.cpp
@@ -9,7 +9,7 @@
 #include "gateway/gateway.h"
 #include "http/http.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "routing/routing.h"
 
 namespace acaciasail::daemon {
@@ -65,7 +65,7 @@
 struct Findings
 {
     std::shared_ptr<http::EventLoop> loop;
-    std::shared_ptr<platform::Platform> platform;
+    std::shared_ptr<externals::Platform> platform;
     std::shared_ptr<gateway::Gateway> gateway;
     std::shared_ptr<peers::Peers> peers;
     std::int64_t lastRating = 0;
@@ -81,7 +81,7 @@
 {
     std::weak_ptr<bool> weak = alive;
     platform->ratings.fetch(
-        lastRating, [this, weak](const kernel::Completion<std::vector<platform::Rating>> &read) {
+        lastRating, [this, weak](const kernel::Completion<std::vector<externals::Rating>> &read) {
             if (weak.expired())
                 return;
             if (read.ok()) {
@@ -108,7 +108,7 @@
 {
     const auto findings = std::make_shared<Findings>();
     BOOST_LEAF_ASSIGN(findings->loop, services.find<http::EventLoop>(names::loop));
-    BOOST_LEAF_ASSIGN(findings->platform, services.find<platform::Platform>(names::platform));
+    BOOST_LEAF_ASSIGN(findings->platform, services.find<externals::Platform>(names::platform));
     BOOST_LEAF_ASSIGN(findings->gateway, services.find<gateway::Gateway>(names::gateway));
     BOOST_LEAF_ASSIGN(findings->peers, services.find<peers::Peers>(names::peers));
     findings->peers->addTopic(rolloutTopic(findings->gateway));
--- a/src/app/daemon/gatewaymodule.cpp
+++ b/src/app/daemon/gatewaymodule.cpp
@@ -5,7 +5,7 @@
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/table.h"
 #include "wire/wire.h"
 
@@ -45,7 +45,7 @@
 }
 
 // Writes the halt of a roll-out to its row; a row that an operator changed meanwhile is left.
-void haltRollout(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+void haltRollout(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
                  const kernel::VmId &vm, const kernel::RolloutId &rollout)
 {
     kernel::Random random = kernel::systemRandom();
@@ -100,7 +100,7 @@
         BOOST_LEAF_ASSIGN(holder->loop, services.find<http::EventLoop>(names::loop));
         BOOST_LEAF_ASSIGN(holder->client, services.find<http::Client>(names::client));
         BOOST_LEAF_AUTO(claims, services.find<ledger::Claims>(names::claims));
-        BOOST_LEAF_AUTO(platform, services.find<platform::Platform>(names::platform));
+        BOOST_LEAF_AUTO(platform, services.find<externals::Platform>(names::platform));
         BOOST_LEAF_AUTO(peers, services.find<peers::Peers>(names::peers));
         gateway::GatewayPorts ports = makePorts(table, bills);
         ports.claims = makeClaimPorts(claims);
--- a/src/app/daemon/ledgermodule.cpp
+++ b/src/app/daemon/ledgermodule.cpp
@@ -3,7 +3,7 @@
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "wire/wire.h"
 
 namespace acaciasail::daemon {
@@ -14,7 +14,7 @@
     module.name = names::bills;
     module.init = [](kernel::ServiceRegistry &services) -> kernel::Result<void> {
         BOOST_LEAF_AUTO(loop, services.find<http::EventLoop>(names::loop));
-        BOOST_LEAF_AUTO(platform, services.find<platform::Platform>(names::platform));
+        BOOST_LEAF_AUTO(platform, services.find<externals::Platform>(names::platform));
         BOOST_LEAF_AUTO(transport, services.find<wire::Http2Transport>(names::transport));
         BOOST_LEAF_AUTO(peers, services.find<peers::Peers>(names::peers));
         kernel::Random random = kernel::systemRandom();
--- a/src/app/daemon/peersmodule.cpp
+++ b/src/app/daemon/peersmodule.cpp
@@ -4,7 +4,7 @@
 #include "daemon/modules.h"
 #include "http/http.h"
 #include "peers/peers.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/table.h"
 #include "wire/wire.h"
 
@@ -110,7 +110,7 @@
 {
     const auto holder = std::make_shared<PeersHolder>();
     BOOST_LEAF_AUTO(settings, services.find<DaemonSettings>(names::settings));
-    BOOST_LEAF_AUTO(platform, services.find<platform::Platform>(names::platform));
+    BOOST_LEAF_AUTO(platform, services.find<externals::Platform>(names::platform));
     BOOST_LEAF_ASSIGN(holder->loop, services.find<http::EventLoop>(names::loop));
     BOOST_LEAF_ASSIGN(holder->table, services.find<table::TableStore>(names::table));
     BOOST_LEAF_ASSIGN(holder->watcher, services.find<table::TableWatcher>(names::tableWatcher));
--- a/src/app/daemon/platformmodule.cpp
+++ b/src/app/daemon/platformmodule.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 #include "daemon/modules.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 
 namespace acaciasail::daemon {
 
@@ -13,11 +13,11 @@
         BOOST_LEAF_AUTO(settings, services.find<DaemonSettings>(names::settings));
         BOOST_LEAF_AUTO(loop, services.find<http::EventLoop>(names::loop));
         BOOST_LEAF_AUTO(client, services.find<http::Client>(names::client));
-        platform::PlatformOptions options;
+        externals::PlatformOptions options;
         options.endpoint = settings->platform;
         return services.add(names::platform,
-                            std::make_shared<platform::Platform>(
-                                platform::makePlatform(*client, loop->scheduler(), options)));
+                            std::make_shared<externals::Platform>(
+                                externals::makePlatform(*client, loop->scheduler(), options)));
     };
     module.shutdown = [](kernel::ServiceRegistry &services) { services.remove(names::platform); };
     return module;
--- a/src/app/daemon/tablemodule.cpp
+++ b/src/app/daemon/tablemodule.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 #include "daemon/modules.h"
 #include "http/http.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/table.h"
 
 namespace acaciasail::daemon {
@@ -13,7 +13,7 @@
     module.init = [](kernel::ServiceRegistry &services) -> kernel::Result<void> {
         BOOST_LEAF_AUTO(settings, services.find<DaemonSettings>(names::settings));
         BOOST_LEAF_AUTO(loop, services.find<http::EventLoop>(names::loop));
-        BOOST_LEAF_AUTO(platform, services.find<platform::Platform>(names::platform));
+        BOOST_LEAF_AUTO(platform, services.find<externals::Platform>(names::platform));
         const auto table = std::make_shared<table::TableStore>(loop->scheduler());
         table::WatcherOptions options;
         options.seed = kernel::hash64(settings->vm.str());
--- /dev/null
+++ b/src/app/router/router.cpp
@@ -0,0 +1,265 @@
+#include "router/router.h"
+
+#include <optional>
+#include <utility>
+
+#include <sys/stat.h>
+
+#include "platform/adapter.h"
+#include "platform/requestwire.h"
+
+namespace acaciasail::router {
+
+namespace {
+
+constexpr int httpOk = 200;
+constexpr int httpUnavailable = 503;
+constexpr kernel::Duration settingsCheckInterval = std::chrono::seconds(1);
+constexpr kernel::Duration drainCheckInterval = std::chrono::milliseconds(50);
+// What is left of the stop's time for the process's own end.
+constexpr kernel::Duration stopMargin = std::chrono::milliseconds(400);
+
+// Changes whenever the file is replaced or written; 0 where it can't be read.
+struct FileStamp
+{
+    ino_t inode = 0;
+    off_t size = 0;
+    std::int64_t changedNs = 0;
+
+    friend bool operator==(const FileStamp &, const FileStamp &) = default;
+};
+
+FileStamp stampOf(const std::string &file)
+{
+    constexpr std::int64_t nsPerSecond = 1'000'000'000;
+    struct stat info
+    {};
+    if (stat(file.c_str(), &info) != 0)
+        return {};
+    return { info.st_ino, info.st_size,
+             info.st_mtim.tv_sec * nsPerSecond + info.st_mtim.tv_nsec };
+}
+
+// The process's parts and their way from start to stop.
+class Router
+{
+public:
+    Router(RouterSettings settings, std::string settingsFile)
+        : m_settings(std::move(settings))
+        , m_settingsFile(std::move(settingsFile))
+        , m_settingsStamp(stampOf(m_settingsFile))
+        , m_client(m_loop)
+        , m_adapter(sender(), m_loop.scheduler(), m_settings.store, kernel::systemRandom())
+        , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding,
+                      kernel::systemRandom())
+    {}
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    kernel::Result<void> start();
+    void run() { m_loop.run(); }
+
+private:
+    forwarding::HttpSender sender();
+    forwarding::ForwarderPorts makePorts();
+    kernel::Result<void> listen();
+    void answerReadiness(const std::shared_ptr<http::Responder> &responder);
+    bool ready();
+    void checkSettings();
+    void reload(std::string_view why);
+    void beginStop();
+    void checkStop();
+
+    RouterSettings m_settings;
+    std::string m_settingsFile;
+    FileStamp m_settingsStamp;
+    http::EventLoop m_loop;
+    http::Client m_client;
+    platform::Adapter m_adapter;
+    forwarding::Forwarder m_forwarder;
+    std::unique_ptr<http::Server> m_callers;
+    std::unique_ptr<http::Server> m_readiness;
+    std::unique_ptr<http::Server> m_metrics;
+    std::optional<kernel::Instant> m_stoppingSince;
+    bool m_endingConnections = false;
+    std::optional<bool> m_toldReady;
+    kernel::Timer m_settingsTimer;
+    kernel::Timer m_stopTimer;
+};
+
+forwarding::HttpSender Router::sender()
+{
+    return [this](const http::ClientRequest &request, http::ClientHandlers handlers) {
+        return m_client.send(request, std::move(handlers));
+    };
+}
+
+forwarding::ForwarderPorts Router::makePorts()
+{
+    forwarding::ForwarderPorts ports;
+    ports.send = sender();
+    ports.wire = platform::upstreamWire();
+    ports.writeRollout = [this](const forwarding::Rollout &rollout,
+                                const forwarding::RolloutStep &step) {
+        m_adapter.writeRollout(rollout, step);
+    };
+    ports.onConfiguration = [this](const forwarding::Configuration &configuration) {
+        if (m_callers)
+            m_callers->setLimits(configuration.limits.maxBodyBytes, configuration.limits.idleTimeout);
+    };
+    return ports;
+}
+
+kernel::Result<void> Router::listen()
+{
+    http::ServerOptions callers;
+    callers.listen = m_settings.callersListen;
+    callers.maxConnections = m_settings.maxConnections;
+    BOOST_LEAF_ASSIGN(
+        m_callers,
+        http::Server::listen(m_loop, callers,
+                             [this](const http::ServerRequest &request,
+                                    std::shared_ptr<http::Responder> responder) {
+                                 m_forwarder.handle(
+                                     platform::decodeRequest(request, m_loop.scheduler().now()),
+                                     std::move(responder));
+                             }));
+    http::ServerOptions readiness;
+    readiness.listen = m_settings.readinessListen;
+    BOOST_LEAF_ASSIGN(
+        m_readiness,
+        http::Server::listen(m_loop, readiness,
+                             [this](const http::ServerRequest &,
+                                    const std::shared_ptr<http::Responder> &responder) {
+                                 answerReadiness(responder);
+                             }));
+    if (m_settings.metricsListen.ip.empty())
+        return {};
+    http::ServerOptions metrics;
+    metrics.listen = m_settings.metricsListen;
+    BOOST_LEAF_ASSIGN(
+        m_metrics,
+        http::Server::listen(m_loop, metrics,
+                             [this](const http::ServerRequest &,
+                                    const std::shared_ptr<http::Responder> &responder) {
+                                 responder->send(httpOk,
+                                                 { { "content-type", "text/plain; version=0.0.4" } },
+                                                 m_forwarder.metrics().text());
+                             }));
+    return {};
+}
+
+kernel::Result<void> Router::start()
+{
+    metrics::Registry &registry = m_forwarder.metrics();
+    registry.gauge("acaciasail_requests_in_progress", "Requests that are not answered",
+                   [this] { return static_cast<double>(m_forwarder.inProgress()); });
+    registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
+                   [this] { return static_cast<double>(m_adapter.storeCalls()); });
+    registry.gauge("acaciasail_upstream_connections_opened", "Connections opened to others",
+                   [this] { return static_cast<double>(m_client.connectionsOpened()); });
+    BOOST_LEAF_CHECK(listen());
+    m_adapter.start(m_forwarder);
+    m_loop.onTerminate([this] { beginStop(); });
+    m_loop.onReload([this] { reload("signal"); });
+    m_settingsTimer
+        = kernel::Timer(m_loop.scheduler(), settingsCheckInterval, [this] { checkSettings(); });
+    kernel::logEvent(kernel::EventId::DaemonStarted,
+                     { { "callers", kernel::toString(m_callers->endpoint()) },
+                       { "readiness", kernel::toString(m_readiness->endpoint()) },
+                       { "store", kernel::toString(m_settings.store) },
+                       { "data_centre", m_settings.forwarding.dataCentre } });
+    return {};
+}
+
+bool Router::ready()
+{
+    return !m_stoppingSince && m_forwarder.canServe();
+}
+
+void Router::answerReadiness(const std::shared_ptr<http::Responder> &responder)
+{
+    const bool isReady = ready();
+    if (m_toldReady != isReady) {
+        m_toldReady = isReady;
+        const char *why = isReady ? "serving" : m_stoppingSince ? "stopping" : "no configuration";
+        kernel::logEvent(kernel::EventId::ReadinessChanged, { { "ready", isReady }, { "why", why } });
+    }
+    responder->send(isReady ? httpOk : httpUnavailable, {}, "");
+}
+
+void Router::checkSettings()
+{
+    const FileStamp stamp = stampOf(m_settingsFile);
+    if (stamp != FileStamp{} && stamp != m_settingsStamp)
+        reload("changed");
+    m_settingsTimer
+        = kernel::Timer(m_loop.scheduler(), settingsCheckInterval, [this] { checkSettings(); });
+}
+
+// Takes what can change in a running process; a wrong file changes nothing.
+void Router::reload(std::string_view why)
+{
+    m_settingsStamp = stampOf(m_settingsFile);
+    const auto checked = kernel::capture([&] { return readRouterSettings(m_settingsFile); });
+    if (!checked.ok() || !checked.value().mistakes.empty()) {
+        const std::string text = checked.ok() ? settings::toString(checked.value().mistakes.front())
+                                              : checked.error().message;
+        kernel::logEvent(kernel::EventId::SettingsRejected, { { "why", why }, { "error", text } });
+        return;
+    }
+    const RouterSettings &fresh = checked.value().settings;
+    m_forwarder.setOptions(fresh.forwarding);
+    m_settings.forwarding = fresh.forwarding;
+    m_settings.stopTimeout = fresh.stopTimeout;
+    m_settings.balancerDelay = fresh.balancerDelay;
+    kernel::logEvent(kernel::EventId::SettingsReloaded, { { "why", why } });
+}
+
+void Router::beginStop()
+{
+    if (m_stoppingSince)
+        return;
+    m_stoppingSince = m_loop.scheduler().now();
+    kernel::logEvent(kernel::EventId::DrainStarted,
+                     { { "in_progress", m_forwarder.inProgress() },
+                       { "connections", m_callers->connections() } });
+    checkStop();
+}
+
+// Until the balancer has noticed, new connections come and are served; after that connections end
+// with their answers, and idle ones are closed.
+void Router::checkStop()
+{
+    const kernel::Duration since = m_loop.scheduler().now() - *m_stoppingSince;
+    if (since >= m_settings.balancerDelay) {
+        if (!std::exchange(m_endingConnections, true))
+            m_callers->endConnectionsAfterAnswers();
+        m_callers->closeIdleConnections();
+        const bool idle = m_callers->connections() == 0 && m_forwarder.inProgress() == 0;
+        if (idle || since >= m_settings.stopTimeout - stopMargin) {
+            kernel::logEvent(kernel::EventId::DrainFinished,
+                             { { "in_progress", m_forwarder.inProgress() },
+                               { "connections", m_callers->connections() },
+                               { "took_ms", kernel::toMilliseconds(since) } });
+            m_loop.stop();
+            return;
+        }
+    }
+    m_stopTimer = kernel::Timer(m_loop.scheduler(), drainCheckInterval, [this] { checkStop(); });
+}
+
+} // namespace
+
+kernel::Result<void> runRouter(const RouterSettings &settings, const std::string &settingsFile)
+{
+    kernel::openEventLog(settings.log);
+    const kernel::ScopeGuard closeLog([] { kernel::closeEventLog(); });
+    Router router(settings, settingsFile);
+    BOOST_LEAF_CHECK(router.start());
+    router.run();
+    kernel::logEvent(kernel::EventId::DaemonStopped, {});
+    return {};
+}
+
+} // namespace acaciasail::router
--- /dev/null
+++ b/src/app/router/routersettings.cpp
@@ -0,0 +1,76 @@
+#include "router/routersettings.h"
+
+namespace acaciasail::router {
+
+namespace {
+
+constexpr std::int64_t minuteMilliseconds = 60 * 1000;
+constexpr double maxRetryRatio = 10;
+
+// Numbers of the platform may be fractions or whole; TOML keeps them apart.
+double readNumber(settings::Reader &reader, const std::string &key, double fallback, double most)
+{
+    const double value = reader.number(key, fallback);
+    if (value < 0 || value > most) {
+        reader.reject(key, "must be between 0 and " + std::to_string(most));
+        return fallback;
+    }
+    return value;
+}
+
+kernel::Duration readSeconds(settings::Reader &reader, const std::string &key, double fallback)
+{
+    constexpr double hour = 3600;
+    return kernel::fromSeconds(readNumber(reader, key, fallback, hour));
+}
+
+void readForwarding(settings::Reader &reader, forwarding::ForwardingOptions &options)
+{
+    options.vm = kernel::VmId(reader.requiredText("router.vm"));
+    options.dataCentre = kernel::DataCentreId(reader.requiredText("router.data_centre"));
+    options.connectTimeout = reader.milliseconds("upstreams.connect_timeout_ms",
+                                                 options.connectTimeout, { 10, minuteMilliseconds });
+    options.retries.ratio
+        = readNumber(reader, "retries.ratio", options.retries.ratio, maxRetryRatio);
+    constexpr double maxSlack = 1e6;
+    options.retries.slack = readNumber(reader, "retries.slack", options.retries.slack, maxSlack);
+    options.retries.window = readSeconds(reader, "retries.window_s",
+                                         kernel::toSeconds(options.retries.window));
+    options.sessions.gap
+        = readSeconds(reader, "sessions.gap_s", kernel::toSeconds(options.sessions.gap));
+    constexpr int mostConfident = 101;
+    options.models.escalateBelow = static_cast<int>(
+        reader.integer("models.escalate_below", options.models.escalateBelow, { 0, mostConfident }));
+}
+
+} // namespace
+
+CheckedRouterSettings readRouterSettings(settings::Reader &reader)
+{
+    CheckedRouterSettings result;
+    RouterSettings &settings = result.settings;
+    readForwarding(reader, settings.forwarding);
+    settings.log.vm = settings.forwarding.vm.str();
+    settings.log.toStandardOutput = true;
+    settings.log.recentLines = 0;
+    settings.log.level = kernel::EventLevel::Info;
+    settings.callersListen = reader.requiredEndpoint("callers.listen");
+    constexpr std::int64_t maxConnections = 1'000'000;
+    settings.maxConnections = static_cast<std::size_t>(
+        reader.integer("callers.max_connections", 4000, { 1, maxConnections }));
+    settings.readinessListen = reader.requiredEndpoint("readiness.listen");
+    settings.metricsListen = reader.endpoint("metrics.listen", {});
+    settings.store = reader.requiredEndpoint("store.address");
+    settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
+    settings.balancerDelay = readSeconds(reader, "stop.balancer_delay_s", 2.5);
+    result.mistakes = reader.finish();
+    return result;
+}
+
+kernel::Result<CheckedRouterSettings> readRouterSettings(const std::string &file)
+{
+    BOOST_LEAF_AUTO(reader, settings::Reader::open(file));
+    return readRouterSettings(reader);
+}
+
+} // namespace acaciasail::router
--- a/src/platform/internal/httpplatform.cpp
+++ b/src/externals/internal/httpplatform.cpp
@@ -1,11 +1,11 @@
-#include "platform/internal/httpplatform.h"
+#include "externals/internal/httpplatform.h"
 
 #include <utility>
 
-#include "platform/internal/objectwatch.h"
-#include "platform/internal/replies.h"
+#include "externals/internal/objectwatch.h"
+#include "externals/internal/replies.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 namespace {
 
@@ -149,4 +149,4 @@
     return platform;
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- a/src/platform/internal/httpplatform.h
+++ b/src/externals/internal/httpplatform.h
@@ -2,9 +2,9 @@
 
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "platform/internal/interfaces.h"
+#include "externals/internal/interfaces.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 /// How the platform is reached over HTTP.
 struct PlatformOptions
@@ -22,4 +22,4 @@
 Platform makePlatform(http::Client &client, const kernel::Scheduler &scheduler,
                       const PlatformOptions &options);
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- /dev/null
+++ b/src/externals/internal/interfaces.cpp
@@ -0,0 +1,1 @@
+#include "externals/internal/interfaces.h"
--- a/src/platform/internal/interfaces.h
+++ b/src/externals/internal/interfaces.h
@@ -7,7 +7,7 @@
 
 #include "kernel/kernel.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 /// One object of the object API. Values are JSON texts of at most a megabyte.
 struct StoredObject
@@ -123,4 +123,4 @@
     WeightStore weights;
 };
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- a/src/platform/internal/objectwatch.cpp
+++ b/src/externals/internal/objectwatch.cpp
@@ -1,11 +1,11 @@
-#include "platform/internal/objectwatch.h"
+#include "externals/internal/objectwatch.h"
 
 #include <optional>
 #include <utility>
 
-#include "platform/internal/replies.h"
+#include "externals/internal/replies.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 namespace {
 
@@ -142,4 +142,4 @@
     return { address, [watch = std::move(watch)](void *) { watch->stop(); } };
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- a/src/platform/internal/replies.cpp
+++ b/src/externals/internal/replies.cpp
@@ -1,10 +1,10 @@
-#include "platform/internal/replies.h"
+#include "externals/internal/replies.h"
 
 #include <cctype>
 
 #include <nlohmann/json.hpp>
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 namespace {
 
@@ -253,4 +253,4 @@
     return encoded;
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- a/src/platform/internal/replies.h
+++ b/src/externals/internal/replies.h
@@ -6,9 +6,9 @@
 
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "platform/internal/interfaces.h"
+#include "externals/internal/interfaces.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::externals {
 
 /// What a call does; it decides what a missing reply means.
 enum class CallKind {
@@ -40,4 +40,4 @@
 /// Encodes a text for a path or query; slashes stay.
 std::string percentEncode(std::string_view text);
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::externals
--- a/src/platform/testing/fakeplatform.cpp
+++ b/src/externals/testing/fakeplatform.cpp
@@ -1,8 +1,8 @@
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 
 #include <utility>
 
-namespace acaciasail::platform::testing {
+namespace acaciasail::externals::testing {
 
 namespace {
 
@@ -254,4 +254,4 @@
     return platform;
 }
 
-} // namespace acaciasail::platform::testing
+} // namespace acaciasail::externals::testing
--- a/src/platform/testing/fakeplatform.h
+++ b/src/externals/testing/fakeplatform.h
@@ -8,10 +8,10 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
-#include "platform/testing/memorystore.h"
+#include "externals/externals.h"
+#include "externals/testing/memorystore.h"
 
-namespace acaciasail::platform::testing {
+namespace acaciasail::externals::testing {
 
 /// Faults of the fake object store. Counts apply to the next calls and run down.
 struct StoreFaults
@@ -130,4 +130,4 @@
     std::shared_ptr<State> m_state;
 };
 
-} // namespace acaciasail::platform::testing
+} // namespace acaciasail::externals::testing
--- a/src/platform/testing/memorystore.cpp
+++ b/src/externals/testing/memorystore.cpp
@@ -1,8 +1,8 @@
-#include "platform/testing/memorystore.h"
+#include "externals/testing/memorystore.h"
 
 #include <algorithm>
 
-namespace acaciasail::platform::testing {
+namespace acaciasail::externals::testing {
 
 namespace {
 
@@ -123,4 +123,4 @@
     return m_revision;
 }
 
-} // namespace acaciasail::platform::testing
+} // namespace acaciasail::externals::testing
--- a/src/platform/testing/memorystore.h
+++ b/src/externals/testing/memorystore.h
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
-#include "platform/platform.h"
+#include "externals/externals.h"
 
-namespace acaciasail::platform::testing {
+namespace acaciasail::externals::testing {
 
 /// The object API's objects in memory, with their history. It answers at once and never fails;
 /// fakes and stand-ins put time and faults round it.
@@ -44,4 +44,4 @@
     kernel::Revision m_compacted;
 };
 
-} // namespace acaciasail::platform::testing
+} // namespace acaciasail::externals::testing
--- a/src/platform/testing/tests/fakeplatform_tests.cpp
+++ b/src/externals/testing/tests/fakeplatform_tests.cpp
@@ -1,9 +1,9 @@
 #include <gtest/gtest.h>
 
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 
 using namespace acaciasail;
-using namespace acaciasail::platform;
+using namespace acaciasail::externals;
 using kernel::ResultCode;
 
 namespace {
@@ -27,7 +27,7 @@
     }
 
     kernel::ManualScheduler clock;
-    platform::testing::FakeObjectStore fake{ clock.scheduler() };
+    externals::testing::FakeObjectStore fake{ clock.scheduler() };
     ObjectStore store = fake.objectStore();
 };
 
--- a/src/platform/tests/httpplatform_tests.cpp
+++ b/src/externals/tests/httpplatform_tests.cpp
@@ -3,10 +3,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "platform/platform.h"
+#include "externals/externals.h"
 
 using namespace acaciasail;
-using namespace acaciasail::platform;
+using namespace acaciasail::externals;
 using kernel::ResultCode;
 using kernel::Revision;
 
--- /dev/null
+++ b/src/forwarding/internal/attemptstate.cpp
@@ -0,0 +1,67 @@
+#include "forwarding/internal/attemptstate.h"
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+
+} // namespace
+
+std::string_view toString(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::NotSent:
+        return "not_sent";
+    case AttemptFailure::Refused:
+        return "refused";
+    case AttemptFailure::WrongUpstream:
+        return "wrong_upstream";
+    case AttemptFailure::Lost:
+        return "lost";
+    case AttemptFailure::Garbled:
+        return "garbled";
+    case AttemptFailure::ServerError:
+        break;
+    }
+    return "server_error";
+}
+
+void noteSent(AttemptState &state)
+{
+    ++state.sent;
+    state.mayHaveRun = true;
+}
+
+void noteRefused(AttemptState &state, bool ranBefore)
+{
+    state.mayHaveRun = ranBefore;
+}
+
+bool mayRepeat(const AttemptState &state)
+{
+    if (state.sent >= state.maxAttempts)
+        return false;
+    if (!state.mayHaveRun)
+        return true;
+    switch (state.kind) {
+    case RequestKind::Safe:
+        return !state.answerBegun;
+    case RequestKind::Streaming:
+        return state.resumable;
+    case RequestKind::Unsafe:
+        break;
+    }
+    return false;
+}
+
+int finalStatus(const AttemptState &state, EndReason reason)
+{
+    if (reason == EndReason::TimedOut)
+        return gatewayTimeout;
+    return state.mayHaveRun ? badGateway : unavailable;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/directory.cpp
@@ -0,0 +1,134 @@
+#include "forwarding/internal/directory.h"
+
+#include <set>
+
+namespace acaciasail::forwarding {
+
+std::string_view toString(DirectoryChange change)
+{
+    switch (change) {
+    case DirectoryChange::None:
+        return "none";
+    case DirectoryChange::Added:
+        return "added";
+    case DirectoryChange::Changed:
+        return "changed";
+    case DirectoryChange::Removed:
+        return "removed";
+    case DirectoryChange::RemovalDeferred:
+        return "removal_deferred";
+    case DirectoryChange::Stale:
+        break;
+    }
+    return "stale";
+}
+
+DirectoryChange putConfiguration(Directory &directory,
+                                 std::shared_ptr<const Configuration> configuration,
+                                 kernel::Revision revision, kernel::Instant now)
+{
+    const Configuration *known = directory.configuration.get();
+    if (known != nullptr && configuration->number <= known->number)
+        return configuration->number == known->number ? DirectoryChange::None
+                                                      : DirectoryChange::Stale;
+    directory.configuration = std::move(configuration);
+    directory.configurationRevision = revision;
+    directory.configuredAt = now;
+    return known == nullptr ? DirectoryChange::Added : DirectoryChange::Changed;
+}
+
+DirectoryChange putUpstream(Directory &directory, const Upstream &upstream)
+{
+    const auto [at, added] = directory.upstreams.try_emplace(upstream.id);
+    at->second = { upstream, std::nullopt };
+    return added ? DirectoryChange::Added : DirectoryChange::Changed;
+}
+
+DirectoryChange removeUpstream(Directory &directory, const kernel::UpstreamId &id,
+                               kernel::Instant now)
+{
+    const auto found = directory.upstreams.find(id);
+    if (found == directory.upstreams.end())
+        return DirectoryChange::None;
+    const kernel::Instant graceEnd = directory.storeBackSince + registrationGrace;
+    // One that said that it leaves has left.
+    if ((!directory.storeAway && now >= graceEnd) || found->second.entry.draining) {
+        directory.upstreams.erase(found);
+        return DirectoryChange::Removed;
+    }
+    if (!found->second.missingUntil) {
+        found->second.missingUntil = directory.storeAway ? kernel::Instant::max() : graceEnd;
+    }
+    return DirectoryChange::RemovalDeferred;
+}
+
+void replaceUpstreams(Directory &directory, const std::vector<Upstream> &upstreams,
+                      kernel::Instant now)
+{
+    std::set<kernel::UpstreamId> listed;
+    for (const Upstream &upstream : upstreams) {
+        listed.insert(upstream.id);
+        putUpstream(directory, upstream);
+    }
+    std::vector<kernel::UpstreamId> gone;
+    for (const auto &[id, known] : directory.upstreams) {
+        if (!listed.contains(id))
+            gone.push_back(id);
+    }
+    for (const kernel::UpstreamId &id : gone)
+        removeUpstream(directory, id, now);
+    directory.upstreamsKnown = true;
+}
+
+std::vector<kernel::UpstreamId> expireMissing(Directory &directory, kernel::Instant now)
+{
+    std::vector<kernel::UpstreamId> gone;
+    for (const auto &[id, known] : directory.upstreams) {
+        if (known.missingUntil && *known.missingUntil <= now)
+            gone.push_back(id);
+    }
+    for (const kernel::UpstreamId &id : gone)
+        directory.upstreams.erase(id);
+    return gone;
+}
+
+DirectoryChange putRollout(Directory &directory, const Rollout &rollout)
+{
+    const auto [at, added] = directory.rollouts.try_emplace(rollout.service, rollout);
+    if (added)
+        return DirectoryChange::Added;
+    if (rollout.revision <= at->second.revision)
+        return DirectoryChange::Stale;
+    at->second = rollout;
+    return DirectoryChange::Changed;
+}
+
+void removeRollout(Directory &directory, const kernel::ServiceName &service)
+{
+    directory.rollouts.erase(service);
+}
+
+bool noteStoreAway(Directory &directory)
+{
+    return !std::exchange(directory.storeAway, true);
+}
+
+bool noteStoreBack(Directory &directory, kernel::Instant now)
+{
+    if (!directory.storeAway)
+        return false;
+    directory.storeAway = false;
+    directory.storeBackSince = now;
+    for (auto &[id, known] : directory.upstreams) {
+        if (known.missingUntil)
+            known.missingUntil = now + registrationGrace;
+    }
+    return true;
+}
+
+bool canServe(const Directory &directory)
+{
+    return directory.configuration != nullptr && directory.upstreamsKnown;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/forwarder.cpp
@@ -0,0 +1,215 @@
+#include "forwarding/internal/forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr kernel::Duration tickInterval = std::chrono::milliseconds(250);
+// A step that was asked for is not asked for again before this.
+constexpr kernel::Duration rolloutAskInterval = std::chrono::milliseconds(1500);
+// Daemons ask for the same step one after the other, so that mostly one of them writes.
+constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(200);
+constexpr std::uint64_t rolloutAskers = 6;
+
+void logConfiguration(const Directory &directory, DirectoryChange change)
+{
+    kernel::logEvent(kernel::EventId::ConfigurationApplied,
+                     { { "number", directory.configuration->number },
+                       { "revision", directory.configurationRevision },
+                       { "change", toString(change) },
+                       { "routes", directory.configuration->routes.size() },
+                       { "workspaces", directory.configuration->workspaces.size() } });
+}
+
+void logUpstream(const kernel::UpstreamId &id, DirectoryChange change, const Upstream *upstream)
+{
+    kernel::logEvent(kernel::EventId::UpstreamRegistration,
+                     { { "upstream", id },
+                       { "change", toString(change) },
+                       { "service", upstream != nullptr ? upstream->service.str() : "" },
+                       { "version", upstream != nullptr ? upstream->version.str() : "" },
+                       { "draining", upstream != nullptr && upstream->draining } });
+}
+
+} // namespace
+
+Forwarder::Forwarder(const kernel::Scheduler &scheduler, ForwarderPorts ports,
+                     ForwardingOptions options, kernel::Random random)
+    : m_state{ .scheduler = scheduler,
+               .options = std::move(options),
+               .wire = std::move(ports.wire),
+               .send = std::move(ports.send),
+               .random = random }
+    , m_writeRollout(std::move(ports.writeRollout))
+    , m_onConfiguration(std::move(ports.onConfiguration))
+{
+    armTick();
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::handle(Request request, std::shared_ptr<http::Responder> responder)
+{
+    const auto job
+        = std::make_shared<Job>(m_state, std::move(request), std::move(responder),
+                                [this](const Job *done) { m_jobs.erase(done); });
+    m_jobs.emplace(job.get(), job);
+    job->start();
+}
+
+void Forwarder::setConfiguration(std::shared_ptr<const Configuration> configuration,
+                                 kernel::Revision revision)
+{
+    const DirectoryChange change = putConfiguration(m_state.directory, std::move(configuration),
+                                                    revision, m_state.scheduler.now());
+    if (change == DirectoryChange::None)
+        return;
+    logConfiguration(m_state.directory, change);
+    if (change != DirectoryChange::Stale && m_onConfiguration)
+        m_onConfiguration(*m_state.directory.configuration);
+}
+
+void Forwarder::setUpstreams(const std::vector<Upstream> &upstreams)
+{
+    replaceUpstreams(m_state.directory, upstreams, m_state.scheduler.now());
+    kernel::logEvent(kernel::EventId::UpstreamsListed, { { "upstreams", upstreams.size() } });
+    forgetRecords();
+}
+
+void Forwarder::setUpstream(const Upstream &upstream)
+{
+    const DirectoryChange change = putUpstream(m_state.directory, upstream);
+    UpstreamRecord &record = m_state.records[upstream.id];
+    if (record.startedAtMs != upstream.startedAtMs) {
+        record = {};
+        record.startedAtMs = upstream.startedAtMs;
+    }
+    logUpstream(upstream.id, change, &upstream);
+}
+
+void Forwarder::dropUpstream(const kernel::UpstreamId &id)
+{
+    const DirectoryChange change = removeUpstream(m_state.directory, id, m_state.scheduler.now());
+    logUpstream(id, change, nullptr);
+    forgetRecords();
+}
+
+void Forwarder::setRollout(const Rollout &rollout)
+{
+    const DirectoryChange change = putRollout(m_state.directory, rollout);
+    if (change == DirectoryChange::Stale)
+        return;
+    kernel::logEvent(kernel::EventId::RolloutAdvanced,
+                     { { "service", rollout.service },
+                       { "target", rollout.target },
+                       { "state", toString(rollout.state) },
+                       { "share_permille", rollout.sharePermille },
+                       { "revision", rollout.revision } });
+    reviewRollouts();
+}
+
+void Forwarder::dropRollout(const kernel::ServiceName &service)
+{
+    removeRollout(m_state.directory, service);
+    m_state.evidence.erase(service);
+    kernel::logEvent(kernel::EventId::RolloutAdvanced,
+                     { { "service", service }, { "state", "removed" } });
+}
+
+void Forwarder::setStoreReachable(bool reachable)
+{
+    if (reachable && noteStoreBack(m_state.directory, m_state.scheduler.now()))
+        kernel::logEvent(kernel::EventId::StoreUp, {});
+    if (!reachable && noteStoreAway(m_state.directory))
+        kernel::logEvent(kernel::EventId::StoreDown, {});
+}
+
+void Forwarder::setOptions(const ForwardingOptions &options)
+{
+    m_state.options = options;
+}
+
+void Forwarder::armTick()
+{
+    m_tick = kernel::Timer(m_state.scheduler, tickInterval, [this] { tick(); });
+}
+
+void Forwarder::tick()
+{
+    for (const kernel::UpstreamId &id : expireMissing(m_state.directory, m_state.scheduler.now()))
+        logUpstream(id, DirectoryChange::Removed, nullptr);
+    reviewRollouts();
+    armTick();
+}
+
+void Forwarder::reviewRollouts()
+{
+    for (auto &[service, rollout] : m_state.directory.rollouts)
+        reviewRollout(rollout);
+}
+
+void Forwarder::reviewRollout(Rollout &rollout)
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    RolloutEvidence &evidence = m_state.evidence[rollout.service];
+    if (evidence.target != rollout.target) {
+        evidence = {};
+        evidence.target = rollout.target;
+        evidence.since = now;
+        evidence.shareSince = now;
+        if (rollout.startedAt) {
+            // A daemon that joins late goes by the time of day, which may have jumped a little.
+            const kernel::Duration age = m_state.scheduler.wallNow() - *rollout.startedAt;
+            evidence.since -= std::clamp(age, kernel::Duration::zero(), rollout.wantedTime);
+        }
+    }
+    if (evidence.share != rollout.sharePermille) {
+        evidence.share = rollout.sharePermille;
+        evidence.shareSince = now;
+    }
+    const bool open
+        = rollout.state == RolloutState::Ordered || rollout.state == RolloutState::Running;
+    if (open && !evidence.condemned && isBad(evidence)) {
+        evidence.condemned = true;
+        kernel::logEvent(kernel::EventId::RolloutHalted,
+                         { { "service", rollout.service },
+                           { "target", rollout.target },
+                           { "bad", evidence.newTotal.bad },
+                           { "answers", evidence.newTotal.total() },
+                           { "old_bad", evidence.oldTotal.bad },
+                           { "old_answers", evidence.oldTotal.total() } });
+    }
+    const auto count = [&](VersionChoice version) {
+        return static_cast<int>(
+            candidatesOf(m_state.directory, rollout.service, version).size());
+    };
+    const auto step = nextStep(rollout, evidence, count(VersionChoice::New),
+                               count(VersionChoice::Old), now);
+    kernel::Instant &askAt = m_rolloutAskedAt[rollout.service];
+    if (!step) {
+        askAt = {};
+        return;
+    }
+    if (askAt == kernel::Instant{} && !evidence.condemned) {
+        askAt = now
+            + rolloutAskSpread
+                * static_cast<int>(kernel::hash64(m_state.options.vm.str()) % rolloutAskers);
+    }
+    if (now < askAt)
+        return;
+    askAt = now + rolloutAskInterval;
+    m_writeRollout(rollout, *step);
+}
+
+// Drops the records of upstreams that are gone and idle.
+void Forwarder::forgetRecords()
+{
+    std::erase_if(m_state.records, [this](const auto &item) {
+        return item.second.inFlight == 0 && !m_state.directory.upstreams.contains(item.first);
+    });
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/forwarder.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+
+#include "forwarding/internal/job.h"
+#include "forwarding/internal/state.h"
+
+namespace acaciasail::forwarding {
+
+/// Asks for a change of a roll-out's status; only the revision that it was decided on may be
+/// changed. What became of it comes back with the roll-out's next change.
+using RolloutWriter = std::function<void(const Rollout &rollout, const RolloutStep &step)>;
+
+struct ForwarderPorts
+{
+    HttpSender send;
+    UpstreamWire wire;
+    RolloutWriter writeRollout;
+    /// A configuration came into force.
+    std::function<void(const Configuration &)> onConfiguration;
+};
+
+/// Takes requests and what is known of the deployment, and answers each request.
+class Forwarder
+{
+public:
+    Forwarder(const kernel::Scheduler &scheduler, ForwarderPorts ports, ForwardingOptions options,
+              kernel::Random random);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    void handle(Request request, std::shared_ptr<http::Responder> responder);
+
+    void setConfiguration(std::shared_ptr<const Configuration> configuration,
+                          kernel::Revision revision);
+    void setUpstreams(const std::vector<Upstream> &upstreams);
+    void setUpstream(const Upstream &upstream);
+    void dropUpstream(const kernel::UpstreamId &id);
+    void setRollout(const Rollout &rollout);
+    void dropRollout(const kernel::ServiceName &service);
+    void setStoreReachable(bool reachable);
+
+    /// Changes the settings that can change while it runs.
+    void setOptions(const ForwardingOptions &options);
+
+    bool canServe() const { return forwarding::canServe(m_state.directory); }
+    std::size_t inProgress() const { return m_jobs.size(); }
+    const ForwardingState &state() const { return m_state; }
+    metrics::Registry &metrics() { return m_state.metrics.registry; }
+
+private:
+    void tick();
+    void armTick();
+    void reviewRollouts();
+    void reviewRollout(Rollout &rollout);
+    void forgetRecords();
+
+    ForwardingState m_state;
+    RolloutWriter m_writeRollout;
+    std::function<void(const Configuration &)> m_onConfiguration;
+    std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
+    std::map<kernel::ServiceName, kernel::Instant> m_rolloutAskedAt;
+    kernel::Timer m_tick;
+};
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/job.cpp
@@ -0,0 +1,607 @@
+#include "forwarding/internal/job.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "forwarding/internal/routematch.h"
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr int httpOk = 200;
+constexpr int firstErrorStatus = 400;
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+constexpr int firstServerError = 500;
+
+// The answer leaves this much before the time is over.
+constexpr kernel::Duration answerMargin = std::chrono::milliseconds(10);
+// An attempt with less time than this is not worth its send.
+constexpr kernel::Duration minAttemptTime = std::chrono::milliseconds(20);
+// Answers that are not streams are held until they are whole, up to this size.
+constexpr std::size_t maxHeldBody = 256U << 10U;
+// Bytes that a slow caller may leave unread before reading from the upstream stops.
+constexpr std::size_t maxQueuedBytes = 256U << 10U;
+// Kept connections that may have been closed unseen are not used for requests that can't be sent
+// again.
+constexpr kernel::Duration maxIdleUnsafe = std::chrono::milliseconds(300);
+constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
+// A silent upstream is given up after this multiple of the objective, if the request may be sent
+// elsewhere.
+constexpr double silentObjectives = 2.5;
+constexpr double silentPauses = 3;
+constexpr kernel::Duration minSilence = std::chrono::milliseconds(400);
+constexpr kernel::Duration minStreamSilence = std::chrono::seconds(2);
+// Longest part of the time left that a connect may take.
+constexpr int connectPart = 3;
+constexpr double failureShareDecay = 0.02;
+// Unless more is known, a caller may come back after this time, spread so that they don't return
+// together.
+constexpr double retryAfterMinSeconds = 0.2;
+constexpr double retryAfterSpreadSeconds = 0.6;
+constexpr int mostUrgent = 0;
+constexpr int leastUrgent = 9;
+constexpr int urgencyPerRank = 2;
+
+kernel::Duration scaled(kernel::Duration duration, double factor)
+{
+    return kernel::fromSeconds(kernel::toSeconds(duration) * factor);
+}
+
+} // namespace
+
+Job::Job(ForwardingState &state, Request request, std::shared_ptr<http::Responder> responder,
+         std::function<void(const Job *)> onDone)
+    : m_state(state)
+    , m_request(std::move(request))
+    , m_responder(std::move(responder))
+    , m_onDone(std::move(onDone))
+    , m_now(m_request.arrived)
+{}
+
+void Job::start()
+{
+    const auto self = shared_from_this();
+    m_responder->whenClosed([this] { onCallerGone(); });
+    if (!accept())
+        return;
+    m_end = m_request.arrived + std::min(m_request.patience.value_or(m_route.timeout), m_route.timeout)
+        - answerMargin;
+    m_deadline = kernel::Timer(m_state.scheduler, m_end - m_request.arrived, [this] { onDeadline(); });
+    noteRequest(m_state.budgets[m_service], m_state.options.retries, now());
+    tryNext();
+}
+
+// Checks the request against the configuration; answers it if it can't be served.
+bool Job::accept()
+{
+    if (m_request.id.empty()) {
+        refuse(badRequest, "request_id_missing", {});
+        return false;
+    }
+    if (!canServe(m_state.directory)) {
+        refuse(unavailable, "no_configuration", std::chrono::seconds(1));
+        return false;
+    }
+    m_configuration = m_state.directory.configuration;
+    const Route *route = matchRoute(*m_configuration, m_request.host, m_request.target);
+    if (route == nullptr) {
+        refuse(notFound, "route_unknown", {});
+        return false;
+    }
+    m_route = *route;
+    m_rank = route->rank;
+    const bool keysInUse = !m_configuration->workspaces.empty();
+    if (keysInUse && (route->needsKey || !m_request.key.empty())) {
+        const Workspace *workspace = findWorkspace(*m_configuration, m_request.key);
+        if (workspace == nullptr && route->needsKey) {
+            refuse(unauthorized, "key_unknown", {});
+            return false;
+        }
+        if (workspace != nullptr) {
+            m_workspace = workspace->name;
+            m_rank = workspace->rank.value_or(m_rank);
+        }
+    }
+    if (m_request.work) {
+        const std::vector<PromptPart> &parts = m_request.work->parts;
+        if (!parts.empty())
+            m_session = parts.back().id;
+        if (!parts.empty())
+            m_affinity = parts[parts.size() > 2 ? parts.size() - 2 : parts.size() - 1].id;
+        m_model = firstModel(m_route, *m_request.work);
+    }
+    const double point = m_session.empty()
+        ? kernel::uniform01(m_state.random)
+        : static_cast<double>(kernel::hash64(m_session) >> 11U) * 0x1.0p-53;
+    const kernel::ServiceName *service = pickService(m_route, point);
+    if (service == nullptr) {
+        refuse(unavailable, "route_without_service", std::chrono::seconds(1));
+        return false;
+    }
+    m_service = *service;
+    m_attempts = { m_route.kind, m_route.resumable, m_route.maxAttempts };
+    m_fingerprint = kernel::hash64(m_request.body,
+                                   kernel::hash64(m_request.target,
+                                                  kernel::hash64(m_workspace.str())));
+    if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
+        kernel::logEvent(kernel::EventId::PoisonRefused,
+                         { { "request", m_request.id }, { "route", m_route.name } });
+        finish(finalStatus({ .mayHaveRun = true }, EndReason::Failed), "crashes_upstreams");
+        return false;
+    }
+    return true;
+}
+
+kernel::Duration Job::timeLeft() const
+{
+    return m_end - m_state.scheduler.now();
+}
+
+VersionChoice Job::versionForSession() const
+{
+    const auto rollout = m_state.directory.rollouts.find(m_service);
+    if (rollout == m_state.directory.rollouts.end())
+        return VersionChoice::Any;
+    const auto evidence = m_state.evidence.find(m_service);
+    if (evidence != m_state.evidence.end() && evidence->second.condemned
+        && evidence->second.target == rollout->second.target)
+        return VersionChoice::Old;
+    // Requests without a session are divided by their id.
+    const std::string &session = m_session.empty() ? m_request.id.str() : m_session;
+    return chooseVersion(rollout->second, m_state.sessions, session, m_state.options.sessions, now());
+}
+
+void Job::tryNext(bool budgetTaken)
+{
+    m_now = m_state.scheduler.now();
+    if (timeLeft() < minAttemptTime) {
+        onDeadline();
+        return;
+    }
+    if (m_attempts.sent > 0 && !budgetTaken
+        && !takeRepeat(m_state.budgets[m_service], m_state.options.retries, now())) {
+        endWithout(EndReason::Failed, "retry_budget_spent");
+        return;
+    }
+    const VersionChoice version = versionForSession();
+    UpstreamQuery query;
+    query.affinity = m_affinity;
+    query.work = m_request.work ? expectedWork(*m_request.work) : 1;
+    query.ownDataCentre = m_state.options.dataCentre;
+    query.exclude = &m_tried;
+    query.now = now();
+    const auto candidates = candidatesOf(m_state.directory, m_service, version);
+    UpstreamChoice choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
+    if (choice.upstream == nullptr && !m_tried.empty()) {
+        // All had it; one that refused or broke may take it now.
+        query.exclude = nullptr;
+        choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
+    }
+    if (choice.upstream == nullptr) {
+        endWithout(EndReason::NoCapacity, "no_upstream");
+        return;
+    }
+    begin(choice);
+}
+
+void Job::begin(const UpstreamChoice &choice)
+{
+    const Upstream &upstream = *choice.upstream;
+    const auto rollout = m_state.directory.rollouts.find(m_service);
+    Attempt attempt;
+    attempt.upstream = upstream.id;
+    attempt.endpoint = upstream.endpoint;
+    attempt.version = upstream.version;
+    attempt.onTarget = rollout != m_state.directory.rollouts.end()
+        && rollout->second.target == upstream.version;
+    attempt.model = m_model;
+    attempt.work = m_request.work ? expectedWork(*m_request.work) : 1;
+    attempt.begun = now();
+    attempt.lastActivity = now();
+    attempt.ranBefore = m_attempts.mayHaveRun;
+
+    AttemptFacts facts;
+    facts.endpoint = upstream.endpoint;
+    facts.upstream = upstream.id;
+    facts.workspace = m_workspace;
+    facts.timeLeft = timeLeft();
+    facts.model = m_model;
+    facts.urgency = std::clamp(m_rank * urgencyPerRank + 1, mostUrgent, leastUrgent);
+    facts.resumeAfter = m_lastEventId;
+    const bool mayBeLost = m_route.kind == RequestKind::Safe || m_route.resumable;
+    facts.maxIdle = mayBeLost ? maxIdleSafe : maxIdleUnsafe;
+    facts.connectTimeout = std::min(m_state.options.connectTimeout, timeLeft() / connectPart);
+
+    kernel::logEvent(kernel::EventId::UpstreamChosen,
+                     { { "request", m_request.id },
+                       { "route", m_route.name },
+                       { "upstream", upstream.id },
+                       { "version", upstream.version },
+                       { "model", m_model },
+                       { "reason", toString(choice.reason) },
+                       { "in_flight", m_state.records[upstream.id].inFlight },
+                       { "send", m_attempts.sent + 1 },
+                       { "left_ms", kernel::toMilliseconds(timeLeft()) } });
+    m_attempt = std::move(attempt);
+    m_tried.insert(upstream.id);
+    m_lastUpstream = upstream.id.str();
+    noteBegin(m_state.records[upstream.id], m_attempt->work);
+    m_splitter.reset();
+    http::ClientHandlers handlers;
+    handlers.onSent = [this] { onSent(); };
+    handlers.onHead = [this](const http::ClientHead &head) { onHead(head); };
+    handlers.onBody = [this](std::string_view piece) { onBody(piece); };
+    handlers.onEnd = [this](const kernel::Completion<kernel::Done> &outcome) {
+        onExchangeEnd(outcome);
+    };
+    m_exchange = m_state.send(m_state.wire.encode(m_request, facts), std::move(handlers));
+}
+
+void Job::onSent()
+{
+    noteSent(m_attempts);
+    m_attempt->sent = true;
+    m_attempt->lastActivity = m_state.scheduler.now();
+    if (mayRepeat(m_attempts))
+        armSilence(silenceAllowed());
+}
+
+// The time for which an upstream may say nothing before the request goes elsewhere.
+kernel::Duration Job::silenceAllowed() const
+{
+    if (m_attempt && m_attempt->firstByteSeen)
+        return std::max(minStreamSilence, scaled(m_route.maxPause, silentPauses));
+    return std::max(minSilence,
+                    std::min(scaled(m_route.latencyObjective, silentObjectives), timeLeft() / 2));
+}
+
+void Job::armSilence(kernel::Duration delay)
+{
+    m_silence = kernel::Timer(m_state.scheduler, delay, [this] { onSilence(); });
+}
+
+void Job::onSilence()
+{
+    const auto self = shared_from_this();
+    if (!m_attempt)
+        return;
+    const kernel::Duration silent = m_state.scheduler.now() - m_attempt->lastActivity;
+    const kernel::Duration allowed = silenceAllowed();
+    if (silent < allowed) {
+        armSilence(allowed - silent);
+        return;
+    }
+    if (mayRepeat(m_attempts))
+        failAttempt(AttemptFailure::Lost, "silent");
+}
+
+void Job::onHead(const http::ClientHead &clientHead)
+{
+    const auto self = shared_from_this();
+    m_attempt->headSeen = true;
+    m_attempt->lastActivity = m_state.scheduler.now();
+    AnswerHead head = m_state.wire.decodeHead(clientHead);
+    if (head.wrongUpstream || head.notRun) {
+        noteRefused(m_attempts, m_attempt->ranBefore);
+        failAttempt(head.wrongUpstream ? AttemptFailure::WrongUpstream : AttemptFailure::Refused,
+                    std::to_string(head.status));
+        return;
+    }
+    if (head.encoded || (head.status < firstErrorStatus && !head.proven)) {
+        failAttempt(AttemptFailure::Garbled, head.encoded ? "content encoding" : "no proof");
+        return;
+    }
+    m_attempt->head = std::move(head);
+    if (m_attempt->head->status < firstErrorStatus && !m_attempts.answerBegun && escalate())
+        return;
+}
+
+// Drops the answer of a small model that doubts it, before anything of it went to the caller.
+bool Job::escalate()
+{
+    if (!m_request.work || m_escalated || !mayRepeat(m_attempts))
+        return false;
+    const kernel::Instant objectiveEnd = m_request.arrived + m_route.latencyObjective;
+    const std::string larger
+        = escalateTo(m_route, m_state.options.models, m_model, m_attempt->head->confidence,
+                     m_attempts.maxAttempts - m_attempts.sent,
+                     objectiveEnd - m_state.scheduler.now());
+    if (larger.empty()
+        || !takeRepeat(m_state.budgets[m_service], m_state.options.retries, m_state.scheduler.now()))
+        return false;
+    kernel::logEvent(kernel::EventId::CascadeEscalated,
+                     { { "request", m_request.id },
+                       { "from", m_model },
+                       { "to", larger },
+                       { "confidence", m_attempt->head->confidence.value_or(0) } });
+    m_escalated = true;
+    m_model = larger;
+    // The upstream that read the prompt for the small model is as good as any.
+    m_tried.erase(m_attempt->upstream);
+    noteEvidence(false);
+    closeAttempt(RunOutcome::Good);
+    tryNext(true);
+    return true;
+}
+
+void Job::onBody(std::string_view piece)
+{
+    const auto self = shared_from_this();
+    m_attempt->lastActivity = m_state.scheduler.now();
+    const AnswerHead &head = *m_attempt->head;
+    if (!head.events || head.status >= firstErrorStatus) {
+        m_attempt->body.append(piece);
+        if (m_attempt->body.size() > maxHeldBody) {
+            startAnswer();
+            m_responder->write(std::exchange(m_attempt->body, {}));
+        }
+        return;
+    }
+    const bool usable
+        = m_splitter.feed(piece, [this](const StreamEvent &event) { onEvent(event); });
+    if (!usable && m_attempt)
+        failAttempt(AttemptFailure::Garbled, "event too long");
+}
+
+void Job::onEvent(const StreamEvent &event)
+{
+    if (m_done)
+        return;
+    if (!m_attempt->firstByteSeen) {
+        m_attempt->firstByteSeen = true;
+        noteEvidence(false);
+    }
+    startAnswer();
+    m_responder->write(event.bytes);
+    if (event.id)
+        m_lastEventId = event.id;
+    if (m_responder->queuedBytes() > maxQueuedBytes && m_exchange) {
+        m_exchange->pauseReading(true);
+        m_responder->whenDrained([this] {
+            if (m_exchange)
+                m_exchange->pauseReading(false);
+        });
+    }
+}
+
+// Sends the head of the answer, once.
+void Job::startAnswer()
+{
+    if (m_attempts.answerBegun)
+        return;
+    m_attempts.answerBegun = true;
+    m_firstByteAt = m_state.scheduler.now();
+    m_responder->start(m_attempt->head->status, m_attempt->head->headers);
+}
+
+void Job::onExchangeEnd(const kernel::Completion<kernel::Done> &outcome)
+{
+    const auto self = shared_from_this();
+    if (outcome.ok()) {
+        onAnswerComplete();
+        return;
+    }
+    const kernel::Error &error = outcome.error();
+    if (!m_attempt->sent)
+        failAttempt(AttemptFailure::NotSent, error.message);
+    else if (error.code == kernel::ResultCode::UpstreamProtocol)
+        failAttempt(AttemptFailure::Garbled, error.message);
+    else
+        failAttempt(AttemptFailure::Lost, error.message);
+}
+
+void Job::onAnswerComplete()
+{
+    if (!m_attempt->head) {
+        failAttempt(AttemptFailure::Garbled, "no head");
+        return;
+    }
+    const AnswerHead &head = *m_attempt->head;
+    if (head.status >= firstServerError) {
+        noteEvidence(true);
+        if (mayRepeat(m_attempts) || !head.proven) {
+            failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
+            return;
+        }
+        closeAttempt(RunOutcome::Failed);
+        deliverWhole();
+        return;
+    }
+    if (head.events && m_splitter.partial()) {
+        failAttempt(AttemptFailure::Lost, "the stream ends within an event");
+        return;
+    }
+    if (!m_attempt->firstByteSeen)
+        noteEvidence(false);
+    noteRan(m_state.crashes, m_fingerprint);
+    closeAttempt(RunOutcome::Good);
+    deliverWhole();
+}
+
+// Sends what is left of a complete answer.
+void Job::deliverWhole()
+{
+    const AnswerHead &head = *m_attempt->head;
+    const int status = head.status;
+    if (m_attempts.answerBegun) {
+        if (!m_attempt->body.empty())
+            m_responder->write(m_attempt->body);
+        m_responder->finish();
+    } else {
+        m_firstByteAt = m_state.scheduler.now();
+        m_responder->send(status, head.headers, m_attempt->body);
+    }
+    finish(status, "answered");
+}
+
+// Ends the attempt for the books; its exchange ends with it.
+void Job::closeAttempt(RunOutcome outcome)
+{
+    m_silence.cancel();
+    m_exchange = nullptr;
+    const bool judged = outcome == RunOutcome::Good || outcome == RunOutcome::Failed;
+    double &share = m_state.failureShares[m_service];
+    if (judged)
+        share += failureShareDecay * ((outcome == RunOutcome::Failed ? 1 : 0) - share);
+    const auto record = m_state.records.find(m_attempt->upstream);
+    if (record == m_state.records.end())
+        return;
+    if (noteEnd(record->second, outcome, m_attempt->work, share, m_state.scheduler.now())) {
+        kernel::logEvent(kernel::EventId::UpstreamEjected,
+                         { { "upstream", m_attempt->upstream },
+                           { "service", m_service },
+                           { "request", m_request.id },
+                           { "ejections", record->second.ejections } });
+    }
+}
+
+void Job::noteEvidence(bool failed)
+{
+    const kernel::Instant at = m_state.scheduler.now();
+    const auto rollout = m_state.directory.rollouts.find(m_service);
+    const auto evidence = m_state.evidence.find(m_service);
+    if (!m_session.empty() && rollout != m_state.directory.rollouts.end())
+        noteSession(m_state.sessions, m_session, m_attempt->onTarget, at);
+    if (evidence == m_state.evidence.end())
+        return;
+    noteAnswer(evidence->second, m_route.name, m_attempt->upstream, m_attempt->onTarget, failed,
+               failed ? std::nullopt : std::optional(at - m_attempt->begun));
+}
+
+void Job::failAttempt(AttemptFailure failure, std::string_view detail)
+{
+    const auto self = shared_from_this();
+    m_state.metrics.attempts(toString(failure)).add();
+    kernel::logEvent(kernel::EventId::AttemptFailed,
+                     { { "request", m_request.id },
+                       { "route", m_route.name },
+                       { "upstream", m_attempt->upstream },
+                       { "failure", toString(failure) },
+                       { "detail", detail },
+                       { "send", m_attempts.sent },
+                       { "may_have_run", m_attempts.mayHaveRun },
+                       { "took_ms", kernel::toMilliseconds(m_state.scheduler.now()
+                                                            - m_attempt->begun) } });
+    switch (failure) {
+    case AttemptFailure::Refused:
+        closeAttempt(RunOutcome::Full);
+        break;
+    case AttemptFailure::NotSent:
+    case AttemptFailure::WrongUpstream:
+        closeAttempt(RunOutcome::Broken);
+        break;
+    case AttemptFailure::Lost:
+        noteCrash(m_state.crashes, m_fingerprint, m_attempt->upstream, m_state.scheduler.now());
+        closeAttempt(RunOutcome::Broken);
+        break;
+    case AttemptFailure::Garbled:
+    case AttemptFailure::ServerError:
+        closeAttempt(RunOutcome::Failed);
+        break;
+    }
+    m_now = m_state.scheduler.now();
+    if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
+        endWithout(EndReason::Failed, "crashes_upstreams");
+        return;
+    }
+    if (!mayRepeat(m_attempts)) {
+        endWithout(EndReason::Failed, toString(failure));
+        return;
+    }
+    tryNext();
+}
+
+void Job::onDeadline()
+{
+    const auto self = shared_from_this();
+    if (m_done)
+        return;
+    if (m_attempt && m_exchange)
+        closeAttempt(RunOutcome::Cancelled);
+    endWithout(EndReason::TimedOut, "time_over");
+}
+
+void Job::onCallerGone()
+{
+    const auto self = shared_from_this();
+    if (m_done)
+        return;
+    if (m_attempt && m_exchange)
+        closeAttempt(RunOutcome::Cancelled);
+    finish(0, "caller_gone");
+}
+
+void Job::refuse(int status, std::string_view reason, kernel::Duration retryAfter)
+{
+    m_state.metrics.refusals(reason).add();
+    http::Headers headers;
+    if (retryAfter > kernel::Duration::zero()) {
+        const double seconds = std::round(kernel::toSeconds(retryAfter) * 100) / 100;
+        headers.push_back({ "retry-after", std::to_string(seconds) });
+    }
+    m_responder->send(status, headers, "");
+    finish(status, reason);
+}
+
+// Ends a request that no upstream answered.
+void Job::endWithout(EndReason reason, std::string_view why)
+{
+    if (m_attempts.answerBegun) {
+        m_responder->abort();
+        finish(0, why);
+        return;
+    }
+    const int status = finalStatus(m_attempts, reason);
+    kernel::Duration retryAfter{};
+    if (status == unavailable) {
+        retryAfter = kernel::fromSeconds(retryAfterMinSeconds
+                                         + retryAfterSpreadSeconds
+                                             * kernel::uniform01(m_state.random));
+    }
+    refuse(status, why, retryAfter);
+}
+
+void Job::finish(int status, std::string_view outcome)
+{
+    if (m_done)
+        return;
+    m_done = true;
+    m_deadline.cancel();
+    m_silence.cancel();
+    m_exchange = nullptr;
+    const kernel::Instant at = m_state.scheduler.now();
+    const std::string kind(toString(m_route.kind));
+    m_state.metrics.requests(m_route.name.str(), status).add();
+    if (status >= httpOk && status < firstErrorStatus) {
+        m_state.metrics.firstByte(kind).add(m_firstByteAt - m_request.arrived);
+        m_state.metrics.whole(kind).add(at - m_request.arrived);
+    }
+    kernel::logEvent(
+        kernel::EventId::RequestFinished,
+        { { "request", m_request.id },
+          { "route", m_route.name },
+          { "workspace", m_workspace },
+          { "status", status },
+          { "outcome", outcome },
+          { "upstream", m_lastUpstream },
+          { "model", m_model },
+          { "sends", m_attempts.sent },
+          { "may_have_run", m_attempts.mayHaveRun },
+          { "configuration", m_configuration ? m_configuration->number.count() : 0 },
+          { "configuration_age_ms",
+            m_configuration ? kernel::toMilliseconds(at - m_state.directory.configuredAt) : -1 },
+          { "store_away", m_state.directory.storeAway },
+          { "first_ms", m_firstByteAt == kernel::Instant{}
+                ? -1
+                : kernel::toMilliseconds(m_firstByteAt - m_request.arrived) },
+          { "took_ms", kernel::toMilliseconds(at - m_request.arrived) } });
+    const auto onDone = std::move(m_onDone);
+    onDone(this);
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/job.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "forwarding/internal/attemptstate.h"
+#include "forwarding/internal/eventsplitter.h"
+#include "forwarding/internal/state.h"
+
+namespace acaciasail::forwarding {
+
+/// One request from its arrival to its answer's end.
+class Job : public std::enable_shared_from_this<Job>
+{
+public:
+    /// `onDone` is called once, last.
+    Job(ForwardingState &state, Request request, std::shared_ptr<http::Responder> responder,
+        std::function<void(const Job *)> onDone);
+    Job(const Job &) = delete;
+    Job &operator=(const Job &) = delete;
+
+    void start();
+
+private:
+    // What was decided of the attempt in progress.
+    struct Attempt
+    {
+        kernel::UpstreamId upstream;
+        kernel::Endpoint endpoint;
+        SoftwareVersion version;
+        bool onTarget = false;
+        std::string model;
+        double work = 1;
+        kernel::Instant begun{};
+        kernel::Instant lastActivity{};
+        bool sent = false;
+        bool ranBefore = false;
+        bool headSeen = false;
+        std::optional<AnswerHead> head;
+        std::string body;
+        bool firstByteSeen = false;
+    };
+
+    bool accept();
+    const kernel::Instant &now() const { return m_now; }
+    kernel::Duration timeLeft() const;
+    kernel::Duration silenceAllowed() const;
+
+    VersionChoice versionForSession() const;
+    // The retry budget is asked unless it was already.
+    void tryNext(bool budgetTaken = false);
+    void begin(const UpstreamChoice &choice);
+    void onSent();
+    void onHead(const http::ClientHead &clientHead);
+    void onBody(std::string_view piece);
+    void onEvent(const StreamEvent &event);
+    void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
+    void onAnswerComplete();
+    bool escalate();
+    void deliverWhole();
+    void startAnswer();
+
+    void failAttempt(AttemptFailure failure, std::string_view detail);
+    void closeAttempt(RunOutcome outcome);
+    void noteEvidence(bool failed);
+    void onSilence();
+    void armSilence(kernel::Duration delay);
+    void onDeadline();
+    void onCallerGone();
+
+    void refuse(int status, std::string_view reason, kernel::Duration retryAfter);
+    void endWithout(EndReason reason, std::string_view why);
+    void finish(int status, std::string_view outcome);
+
+    ForwardingState &m_state;
+    Request m_request;
+    std::shared_ptr<http::Responder> m_responder;
+    std::function<void(const Job *)> m_onDone;
+    std::shared_ptr<const Configuration> m_configuration;
+    Route m_route;
+    kernel::WorkspaceId m_workspace;
+    int m_rank = 0;
+    kernel::ServiceName m_service;
+    std::string m_session;
+    std::string m_affinity;
+    RequestFingerprint m_fingerprint = 0;
+    kernel::Instant m_now{};
+    kernel::Instant m_end{};
+    kernel::Timer m_deadline;
+    kernel::Timer m_silence;
+    AttemptState m_attempts;
+    std::set<kernel::UpstreamId> m_tried;
+    std::optional<Attempt> m_attempt;
+    std::unique_ptr<http::Exchange> m_exchange;
+    EventSplitter m_splitter;
+    std::optional<std::string> m_lastEventId;
+    std::string m_model;
+    std::string m_lastUpstream;
+    kernel::Instant m_firstByteAt{};
+    bool m_escalated = false;
+    bool m_done = false;
+};
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/modelchoice.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "forwarding/internal/types.h"
+
+namespace acaciasail::forwarding {
+
+/// How a route's models are used.
+struct ModelRules
+{
+    /// Confidence (0 to 100) below which an answer is dropped and the largest model asked.
+    int escalateBelow = 50;
+    /// Shortest time that must be left, as a part of the route's objective, to ask again.
+    double minObjectiveLeft = 0.2;
+};
+
+/// The model to ask first: the smallest of the route's, or the caller's own.
+std::string firstModel(const Route &route, const ModelWork &work);
+
+/// The model to ask in place of an answer that nobody has seen yet; empty where the answer stands.
+/// `sentLeft` is the number of sends that the request may still have.
+std::string escalateTo(const Route &route, const ModelRules &rules, const std::string &asked,
+                       std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft);
+
+/// Expected work of a request at an engine, in tokens read: a token generated counts as many.
+double expectedWork(const ModelWork &work);
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -0,0 +1,172 @@
+#include "forwarding/internal/rolloutplan.h"
+
+#include <algorithm>
+#include <array>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr int permille = 1000;
+
+// A stage of a roll-out: the share from a part of the wanted time on.
+struct Stage
+{
+    double fromPart;
+    int sharePermille;
+};
+
+// Little is risked until half of the time is over; then the share grows in steps, each long enough
+// to see what it does under its load.
+constexpr std::array<Stage, 4> stages{ {
+    { 0.0, 80 },
+    { 0.52, 250 },
+    { 0.60, 500 },
+    { 0.68, 1000 },
+} };
+// Part of the wanted time at which the old upstreams may be stopped; streams on them have ended.
+constexpr double completePart = 0.88;
+// Shortest time at the full share before the old upstreams may be stopped.
+constexpr kernel::Duration minFullTime = std::chrono::seconds(4);
+// The share that marks the second half of a roll-out.
+constexpr int secondHalfShare = 250;
+
+// Bad answers before the target is judged at all.
+constexpr int minBad = 4;
+constexpr double minBadShareExcess = 0.15;
+constexpr double badShareFactor = 3;
+// Part of the target's upstreams that must have given bad answers: one that fails by itself says
+// nothing of the version.
+constexpr double minBadUpstreamPart = 0.34;
+
+// An answer is slow when it takes this many times the usual, and longer than the usual by this.
+constexpr double slowFactor = 4;
+constexpr double slowExcessSeconds = 0.25;
+constexpr double usualDecay = 0.05;
+
+bool clearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
+{
+    if (target.bad < minBad)
+        return false;
+    if (target.badShare() < old.badShare() * badShareFactor
+        || target.badShare() < old.badShare() + minBadShareExcess)
+        return false;
+    const auto needed = std::max<std::size_t>(
+        std::min<std::size_t>(2, target.upstreams.size()),
+        static_cast<std::size_t>(minBadUpstreamPart * static_cast<double>(target.upstreams.size())));
+    return target.badUpstreams.size() >= needed;
+}
+
+void count(VersionEvidence &evidence, const kernel::UpstreamId &upstream, bool bad)
+{
+    evidence.upstreams.insert(upstream);
+    if (bad) {
+        ++evidence.bad;
+        evidence.badUpstreams.insert(upstream);
+    } else {
+        ++evidence.good;
+    }
+}
+
+} // namespace
+
+VersionChoice chooseVersion(const Rollout &rollout, const SessionVersions &sessions,
+                            std::string_view session, const SessionRules &rules,
+                            kernel::Instant now)
+{
+    switch (rollout.state) {
+    case RolloutState::Ordered:
+        return VersionChoice::Old;
+    case RolloutState::RolledBack:
+        return VersionChoice::Old;
+    case RolloutState::Completed:
+        return VersionChoice::New;
+    case RolloutState::Running:
+        break;
+    }
+    if (rollout.sharePermille >= permille)
+        return VersionChoice::New;
+    const auto known = sessions.sessions.find(session);
+    const bool recent = known != sessions.sessions.end() && now - known->second.lastUsed < rules.gap;
+    if (recent && known->second.onTarget)
+        return VersionChoice::New;
+    if (recent && rollout.sharePermille < secondHalfShare)
+        return VersionChoice::Old;
+    const auto point = static_cast<int>(kernel::hash64(session) % permille);
+    return point < rollout.sharePermille ? VersionChoice::New : VersionChoice::Old;
+}
+
+void noteSession(SessionVersions &sessions, std::string_view session, bool onTarget,
+                 kernel::Instant now)
+{
+    if (session.empty())
+        return;
+    sessions.sessions[std::string(session)] = { onTarget, now };
+    if (sessions.sessions.size() <= sessions.capacity)
+        return;
+    // Half of the capacity is freed at once, so that the search is rare.
+    std::vector<kernel::Instant> times;
+    times.reserve(sessions.sessions.size());
+    for (const auto &[id, entry] : sessions.sessions)
+        times.push_back(entry.lastUsed);
+    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
+    std::ranges::nth_element(times, middle);
+    std::erase_if(sessions.sessions,
+                  [oldest = *middle](const auto &item) { return item.second.lastUsed < oldest; });
+}
+
+void noteAnswer(RolloutEvidence &evidence, const RouteName &route, const kernel::UpstreamId &upstream,
+                bool onTarget, bool failed, std::optional<kernel::Duration> took)
+{
+    bool bad = failed;
+    if (took) {
+        const double seconds = kernel::toSeconds(*took);
+        const auto usual = evidence.usualSeconds.find(route);
+        if (usual != evidence.usualSeconds.end())
+            bad = bad || seconds > usual->second * slowFactor + slowExcessSeconds;
+        if (!onTarget) {
+            double &mean = evidence.usualSeconds.try_emplace(route, seconds).first->second;
+            mean += usualDecay * (seconds - mean);
+        }
+    }
+    count(onTarget ? evidence.newTotal : evidence.oldTotal, upstream, bad);
+    count((onTarget ? evidence.newByRoute : evidence.oldByRoute)[route], upstream, bad);
+}
+
+bool isBad(const RolloutEvidence &evidence)
+{
+    if (clearlyWorse(evidence.newTotal, evidence.oldTotal))
+        return true;
+    return std::ranges::any_of(evidence.newByRoute, [&](const auto &item) {
+        const auto old = evidence.oldByRoute.find(item.first);
+        return clearlyWorse(item.second,
+                            old == evidence.oldByRoute.end() ? VersionEvidence{} : old->second);
+    });
+}
+
+std::optional<RolloutStep> nextStep(const Rollout &rollout, const RolloutEvidence &evidence,
+                                    int newUpstreams, int oldUpstreams, kernel::Instant now)
+{
+    if (rollout.state == RolloutState::Completed || rollout.state == RolloutState::RolledBack)
+        return std::nullopt;
+    if (evidence.condemned)
+        return RolloutStep{ RolloutState::RolledBack, 0 };
+    if (newUpstreams == 0)
+        return std::nullopt;
+    const double part = kernel::toSeconds(now - evidence.since)
+        / std::max(kernel::toSeconds(rollout.wantedTime), 1.0);
+    const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
+    if (full && part >= completePart && now - evidence.shareSince >= minFullTime
+        && newUpstreams * 2 >= oldUpstreams)
+        return RolloutStep{ RolloutState::Completed, permille };
+    int share = 0;
+    for (const Stage &stage : stages) {
+        if (part >= stage.fromPart)
+            share = stage.sharePermille;
+    }
+    if (rollout.state == RolloutState::Running && share <= rollout.sharePermille)
+        return std::nullopt;
+    return RolloutStep{ RolloutState::Running, share };
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/routematch.cpp
@@ -0,0 +1,58 @@
+#include "forwarding/internal/routematch.h"
+
+#include <algorithm>
+#include <cctype>
+#include <string>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+std::string hostName(std::string_view host)
+{
+    std::string name(host.substr(0, host.find(':')));
+    std::ranges::transform(name, name.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return name;
+}
+
+} // namespace
+
+const Route *matchRoute(const Configuration &configuration, std::string_view host,
+                        std::string_view target)
+{
+    const std::string name = hostName(host);
+    const std::string_view path = target.substr(0, target.find('?'));
+    const Route *best = nullptr;
+    for (const Route &route : configuration.routes) {
+        if (!path.starts_with(route.pathPrefix) || hostName(route.host) != name)
+            continue;
+        if (best == nullptr || route.pathPrefix.size() > best->pathPrefix.size())
+            best = &route;
+    }
+    return best;
+}
+
+const Workspace *findWorkspace(const Configuration &configuration, std::string_view key)
+{
+    const auto found = configuration.keys.find(key);
+    return found == configuration.keys.end() ? nullptr : &configuration.workspaces[found->second];
+}
+
+const kernel::ServiceName *pickService(const Route &route, double point)
+{
+    std::int64_t total = 0;
+    for (const ServiceShare &share : route.services)
+        total += std::max<std::int64_t>(share.weight, 0);
+    if (total == 0)
+        return nullptr;
+    double left = point * static_cast<double>(total);
+    for (const ServiceShare &share : route.services) {
+        left -= static_cast<double>(std::max<std::int64_t>(share.weight, 0));
+        if (left < 0)
+            return &share.service;
+    }
+    return &route.services.back().service;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/state.cpp
@@ -0,0 +1,56 @@
+#include "forwarding/internal/state.h"
+
+namespace acaciasail::forwarding {
+
+metrics::Counter &ForwardingMetrics::requests(const std::string &route, int status)
+{
+    return registry.counter("acaciasail_requests_total", "Requests by route and status",
+                            { { "route", route }, { "status", std::to_string(status) } });
+}
+
+metrics::Counter &ForwardingMetrics::attempts(std::string_view outcome)
+{
+    return registry.counter("acaciasail_attempts_total", "Sends to upstreams by outcome",
+                            { { "outcome", std::string(outcome) } });
+}
+
+metrics::Counter &ForwardingMetrics::refusals(std::string_view reason)
+{
+    return registry.counter("acaciasail_refusals_total", "Requests refused without a send",
+                            { { "reason", std::string(reason) } });
+}
+
+metrics::TimeHistogram &ForwardingMetrics::firstByte(const std::string &kind)
+{
+    return registry.histogram("acaciasail_first_byte_seconds",
+                              "Time from a request's arrival to the first byte of its answer",
+                              { { "kind", kind } });
+}
+
+metrics::TimeHistogram &ForwardingMetrics::whole(const std::string &kind)
+{
+    return registry.histogram("acaciasail_answer_seconds",
+                              "Time from a request's arrival to the end of its answer",
+                              { { "kind", kind } });
+}
+
+std::vector<const Upstream *> candidatesOf(const Directory &directory,
+                                           const kernel::ServiceName &service,
+                                           VersionChoice version)
+{
+    const auto rollout = directory.rollouts.find(service);
+    std::vector<const Upstream *> result;
+    for (const auto &[id, known] : directory.upstreams) {
+        if (known.entry.service != service || known.entry.draining)
+            continue;
+        if (rollout != directory.rollouts.end() && version != VersionChoice::Any) {
+            const bool onTarget = known.entry.version == rollout->second.target;
+            if (onTarget != (version == VersionChoice::New))
+                continue;
+        }
+        result.push_back(&known.entry);
+    }
+    return result;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/state.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "forwarding/internal/crashlist.h"
+#include "forwarding/internal/directory.h"
+#include "forwarding/internal/modelchoice.h"
+#include "forwarding/internal/retrybudget.h"
+#include "forwarding/internal/rolloutplan.h"
+#include "forwarding/internal/upstreamchoice.h"
+#include "metrics/metrics.h"
+
+namespace acaciasail::forwarding {
+
+/// The wire form towards upstreams, which the deployment's adapter provides.
+struct UpstreamWire
+{
+    std::function<http::ClientRequest(const Request &, const AttemptFacts &)> encode;
+    std::function<AnswerHead(const http::ClientHead &)> decodeHead;
+};
+
+using HttpSender = std::function<std::unique_ptr<http::Exchange>(const http::ClientRequest &,
+                                                                 http::ClientHandlers)>;
+
+/// Settings of the flow; docs/operators/SETTINGS.md explains each.
+struct ForwardingOptions
+{
+    kernel::VmId vm;
+    kernel::DataCentreId dataCentre;
+    RetryBounds retries;
+    SessionRules sessions;
+    ModelRules models;
+    /// Longest wait for a connection to an upstream.
+    kernel::Duration connectTimeout = std::chrono::milliseconds(1000);
+};
+
+/// Counters and times of the flow.
+struct ForwardingMetrics
+{
+    metrics::Registry registry;
+
+    metrics::Counter &requests(const std::string &route, int status);
+    metrics::Counter &attempts(std::string_view outcome);
+    metrics::Counter &refusals(std::string_view reason);
+    metrics::TimeHistogram &firstByte(const std::string &kind);
+    metrics::TimeHistogram &whole(const std::string &kind);
+};
+
+/// All that a daemon's flow knows. One loop, one thread.
+struct ForwardingState
+{
+    const kernel::Scheduler &scheduler;
+    ForwardingOptions options;
+    UpstreamWire wire;
+    HttpSender send;
+    kernel::Random random;
+
+    Directory directory;
+    UpstreamRecords records;
+    std::map<kernel::ServiceName, RetryBudget> budgets;
+    /// Share of failures of each service's answers, with decay.
+    std::map<kernel::ServiceName, double> failureShares;
+    std::map<kernel::ServiceName, RolloutEvidence> evidence;
+    SessionVersions sessions;
+    CrashList crashes;
+    ForwardingMetrics metrics;
+};
+
+/// The upstreams of a service that a request may be sent to, as far as versions and leaving go.
+std::vector<const Upstream *> candidatesOf(const Directory &directory,
+                                           const kernel::ServiceName &service,
+                                           VersionChoice version);
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -0,0 +1,182 @@
+#include "forwarding/internal/upstreamchoice.h"
+
+#include <algorithm>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// An upstream may carry this many times the mean work before a key's requests go elsewhere.
+constexpr double affinityLoadFactor = 1.25;
+// Requests at an upstream of the same data centre above which others are considered.
+constexpr int nearRequests = 2;
+
+// Weight of the newest request in the share of failures.
+constexpr double failureDecay = 0.15;
+constexpr int minRequestsToJudge = 6;
+constexpr double failureShareToAvoid = 0.35;
+// An upstream is avoided only if it fails this many times as often as its service.
+constexpr double failureFactorToAvoid = 2;
+constexpr int consecutiveFailuresToAvoid = 4;
+constexpr kernel::Duration firstAvoidance = std::chrono::seconds(2);
+constexpr int maxAvoidanceDoublings = 3;
+constexpr kernel::Duration brokenAvoidance = std::chrono::milliseconds(500);
+constexpr kernel::Duration fullAvoidance = std::chrono::milliseconds(100);
+
+const UpstreamRecord &recordOf(const UpstreamRecords &records, const Upstream &upstream)
+{
+    static const UpstreamRecord unknown;
+    const auto found = records.find(upstream.id);
+    return found == records.end() ? unknown : found->second;
+}
+
+double workAt(const UpstreamRecords &records, const Upstream &upstream)
+{
+    return recordOf(records, upstream).workInFlight;
+}
+
+const Upstream *leastLoaded(const std::vector<const Upstream *> &candidates,
+                            const UpstreamRecords &records, kernel::Random &random)
+{
+    const Upstream *best = nullptr;
+    double bestWork = 0;
+    int equals = 0;
+    for (const Upstream *upstream : candidates) {
+        const double work = workAt(records, *upstream);
+        if (best != nullptr && work > bestWork)
+            continue;
+        if (best == nullptr || work < bestWork) {
+            equals = 0;
+            bestWork = work;
+        }
+        // Each of the equally loaded ones is taken with the same probability.
+        ++equals;
+        if (kernel::uniformBelow(random, static_cast<std::uint64_t>(equals)) == 0)
+            best = upstream;
+    }
+    return best;
+}
+
+UpstreamChoice chooseByAffinity(std::vector<const Upstream *> candidates,
+                                const UpstreamRecords &records, const UpstreamQuery &query,
+                                kernel::Random &random)
+{
+    double total = query.work;
+    for (const Upstream *upstream : candidates)
+        total += workAt(records, *upstream);
+    const double bound = std::max(
+        affinityLoadFactor * total / static_cast<double>(candidates.size()), 2 * query.work);
+    std::ranges::sort(candidates, std::greater<>{}, [&](const Upstream *upstream) {
+        return kernel::rendezvousScore(query.affinity, upstream->id.str());
+    });
+    for (const Upstream *upstream : candidates) {
+        if (workAt(records, *upstream) + query.work <= bound)
+            return { upstream, ChoiceReason::Affinity };
+    }
+    return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
+}
+
+UpstreamChoice chooseNear(const std::vector<const Upstream *> &candidates,
+                          const UpstreamRecords &records, const UpstreamQuery &query,
+                          kernel::Random &random)
+{
+    std::vector<const Upstream *> near;
+    for (const Upstream *upstream : candidates) {
+        if (upstream->dataCentre == query.ownDataCentre
+            && recordOf(records, *upstream).inFlight < nearRequests)
+            near.push_back(upstream);
+    }
+    if (const Upstream *upstream = leastLoaded(near, records, random))
+        return { upstream, ChoiceReason::Near };
+    return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
+}
+
+} // namespace
+
+std::string_view toString(ChoiceReason reason)
+{
+    switch (reason) {
+    case ChoiceReason::Affinity:
+        return "affinity";
+    case ChoiceReason::LeastLoaded:
+        return "least_loaded";
+    case ChoiceReason::Near:
+        return "near";
+    case ChoiceReason::AvoidedIgnored:
+        return "avoided_ignored";
+    case ChoiceReason::None:
+        break;
+    }
+    return "none";
+}
+
+UpstreamChoice chooseUpstream(const std::vector<const Upstream *> &candidates,
+                              const UpstreamRecords &records, const UpstreamQuery &query,
+                              kernel::Random &random)
+{
+    std::vector<const Upstream *> open;
+    std::vector<const Upstream *> avoided;
+    for (const Upstream *upstream : candidates) {
+        if (query.exclude != nullptr && query.exclude->contains(upstream->id))
+            continue;
+        const bool avoid = recordOf(records, *upstream).avoidUntil > query.now;
+        (avoid ? avoided : open).push_back(upstream);
+    }
+    if (open.empty()) {
+        const Upstream *upstream = leastLoaded(avoided, records, random);
+        return { upstream, upstream != nullptr ? ChoiceReason::AvoidedIgnored : ChoiceReason::None };
+    }
+    if (!query.affinity.empty())
+        return chooseByAffinity(std::move(open), records, query, random);
+    return chooseNear(open, records, query, random);
+}
+
+void noteBegin(UpstreamRecord &record, double work)
+{
+    ++record.inFlight;
+    record.workInFlight += work;
+}
+
+bool noteEnd(UpstreamRecord &record, RunOutcome outcome, double work, double serviceFailureShare,
+             kernel::Instant now)
+{
+    record.inFlight = std::max(record.inFlight - 1, 0);
+    record.workInFlight = record.inFlight == 0 ? 0 : std::max(record.workInFlight - work, 0.0);
+    switch (outcome) {
+    case RunOutcome::Cancelled:
+        return false;
+    case RunOutcome::Full:
+        record.avoidUntil = std::max(record.avoidUntil, now + fullAvoidance);
+        return false;
+    case RunOutcome::Good:
+    case RunOutcome::Failed:
+    case RunOutcome::Broken:
+        break;
+    }
+    const bool failed = outcome != RunOutcome::Good;
+    record.failureShare += failureDecay * ((failed ? 1 : 0) - record.failureShare);
+    ++record.recentRequests;
+    if (!failed) {
+        record.consecutiveFailures = 0;
+        if (record.avoidUntil <= now)
+            record.ejections = 0;
+        return false;
+    }
+    ++record.consecutiveFailures;
+    if (outcome == RunOutcome::Broken)
+        record.avoidUntil = std::max(record.avoidUntil, now + brokenAvoidance);
+    const bool oftenFailing = record.recentRequests >= minRequestsToJudge
+        && record.failureShare > failureShareToAvoid
+        && record.failureShare > failureFactorToAvoid * serviceFailureShare;
+    if (!oftenFailing && record.consecutiveFailures < consecutiveFailuresToAvoid)
+        return false;
+    const int doublings = std::min(record.ejections, maxAvoidanceDoublings);
+    record.avoidUntil = now + firstAvoidance * (1 << doublings);
+    ++record.ejections;
+    record.consecutiveFailures = 0;
+    record.failureShare = 0;
+    record.recentRequests = 0;
+    return true;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/framework/http/internal/answerparser.cpp
@@ -0,0 +1,133 @@
+#include "http/internal/answerparser.h"
+
+#include <cctype>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace acaciasail::http {
+
+namespace {
+
+// Bytes of an answer's head above which it is taken as malformed.
+constexpr std::size_t maxHeadBytes = 64U << 10U;
+constexpr int firstFinalStatus = 200;
+// http_parser's return values of the headers callback.
+constexpr int headersOk = 0;
+constexpr int headersNoBody = 1;
+constexpr int headersFailed = -1;
+
+} // namespace
+
+AnswerParser::AnswerParser(bool answersHead, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_answersHead(answersHead)
+{
+    http_parser_init(&m_parser, HTTP_RESPONSE);
+    m_parser.data = this;
+}
+
+const http_parser_settings &AnswerParser::callbacks()
+{
+    static const http_parser_settings settings = [] {
+        http_parser_settings result;
+        http_parser_settings_init(&result);
+        result.on_header_field = &AnswerParser::onField;
+        result.on_header_value = &AnswerParser::onValue;
+        result.on_headers_complete = &AnswerParser::onHeadersComplete;
+        result.on_body = &AnswerParser::onBody;
+        result.on_message_complete = &AnswerParser::onMessageComplete;
+        return result;
+    }();
+    return settings;
+}
+
+int AnswerParser::onField(http_parser *parser, const char *at, std::size_t length)
+{
+    AnswerParser *self = of(parser);
+    if (self->m_readingValue || self->m_head.headers.empty())
+        self->m_head.headers.emplace_back();
+    self->m_readingValue = false;
+    std::string &name = self->m_head.headers.back().name;
+    for (std::size_t i = 0; i < length; ++i)
+        name += static_cast<char>(std::tolower(static_cast<unsigned char>(at[i])));
+    self->m_headBytes += length;
+    return self->m_headBytes > maxHeadBytes ? 1 : 0;
+}
+
+int AnswerParser::onValue(http_parser *parser, const char *at, std::size_t length)
+{
+    AnswerParser *self = of(parser);
+    self->m_readingValue = true;
+    if (self->m_head.headers.empty())
+        return 1;
+    self->m_head.headers.back().value.append(at, length);
+    self->m_headBytes += length;
+    return self->m_headBytes > maxHeadBytes ? 1 : 0;
+}
+
+bool AnswerParser::interim() const
+{
+    return m_parser.status_code < firstFinalStatus;
+}
+
+int AnswerParser::onHeadersComplete(http_parser *parser)
+{
+    AnswerParser *self = of(parser);
+    if (self->interim())
+        return headersOk;
+    // An answer that is framed twice could be read in two ways.
+    if (countHeaders(self->m_head.headers, "content-length") > 1)
+        return headersFailed;
+    self->m_head.status = static_cast<int>(parser->status_code);
+    if ((parser->flags & F_CONTENTLENGTH) != 0)
+        self->m_head.contentLength = parser->content_length;
+    self->m_keepAlive = http_should_keep_alive(parser) != 0;
+    if (self->m_handlers.onHead)
+        self->m_handlers.onHead(std::move(self->m_head));
+    self->m_head = {};
+    return self->m_answersHead ? headersNoBody : headersOk;
+}
+
+int AnswerParser::onBody(http_parser *parser, const char *at, std::size_t length)
+{
+    AnswerParser *self = of(parser);
+    if (self->m_handlers.onBody)
+        self->m_handlers.onBody({ at, length });
+    return 0;
+}
+
+int AnswerParser::onMessageComplete(http_parser *parser)
+{
+    AnswerParser *self = of(parser);
+    if (self->interim()) {
+        self->m_head = {};
+        return 0;
+    }
+    self->m_complete = true;
+    // What follows is not part of this answer, so it is left unread.
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+AnswerParser::State AnswerParser::run(const char *bytes, std::size_t length)
+{
+    m_consumed = http_parser_execute(&m_parser, &callbacks(), bytes, length);
+    if (m_complete)
+        return State::Complete;
+    const bool failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0;
+    return failed ? State::Malformed : State::Reading;
+}
+
+AnswerParser::State AnswerParser::feed(std::string_view bytes)
+{
+    return run(bytes.data(), bytes.size());
+}
+
+AnswerParser::State AnswerParser::endOfInput()
+{
+    const State state = run(nullptr, 0);
+    return state == State::Complete ? State::Complete : State::Malformed;
+}
+
+} // namespace acaciasail::http
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -1,28 +1,35 @@
 #include "http/internal/client.h"
 
+#include <algorithm>
 #include <cctype>
+#include <list>
 #include <map>
 #include <utility>
 #include <vector>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include "http/internal/address.h"
+#include "http/internal/answerparser.h"
 #include "http/internal/h2oheaders.h"
+#include "http/internal/sockettimeouts.h"
 
 namespace acaciasail::http {
 
 namespace {
 
-// Idle connections kept for an endpoint end after this time.
-constexpr std::uint64_t poolIdleMilliseconds = 5000;
-// Connections to one endpoint at the same time.
-constexpr std::size_t poolCapacity = 65536;
-// h2o's own time-out; exchanges have their own timers, which end earlier.
-constexpr std::uint64_t libraryTimeoutMilliseconds = 3600000;
+// Idle connections kept for one endpoint; further ones are closed.
+constexpr std::size_t maxIdlePerEndpoint = 32;
+// Part of an upstream's advertised idle time for which its connection is kept.
+constexpr double keptPartOfKeepAlive = 0.5;
 
 std::string formatHead(const ClientRequest &request)
 {
-    std::string head = request.method + " " + request.path
-                       + " HTTP/1.1\r\nhost: " + kernel::toString(request.endpoint) + "\r\n";
+    const std::string host
+        = request.host.empty() ? kernel::toString(request.endpoint) : request.host;
+    std::string head = request.method + " " + request.path + " HTTP/1.1\r\nhost: " + host + "\r\n";
     for (const Header &header : request.headers)
         head += header.name + ": " + header.value + "\r\n";
     if (!request.body.empty() || request.method == "POST" || request.method == "PUT")
@@ -30,225 +37,377 @@
     return head + "\r\n";
 }
 
-ClientHead readHead(int status, const h2o_header_t *headers, std::size_t count)
+// The idle time that an upstream states in Keep-Alive, if any.
+std::optional<kernel::Duration> advertisedIdleTime(const Headers &headers)
 {
-    ClientHead head;
-    head.status = status;
-    head.headers.reserve(count);
-    for (std::size_t i = 0; i < count; ++i) {
-        std::string name(headers[i].name->base, headers[i].name->len);
-        for (char &c : name)
-            c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-        head.headers.push_back(
-            { std::move(name), { headers[i].value.base, headers[i].value.len } });
-    }
-    return head;
+    constexpr std::string_view parameter = "timeout=";
+    const auto value = findHeader(headers, "keep-alive");
+    if (!value)
+        return std::nullopt;
+    const std::size_t at = value->find(parameter);
+    if (at == std::string_view::npos)
+        return std::nullopt;
+    return std::chrono::seconds(std::atoi(std::string(value->substr(at + parameter.size())).c_str()));
 }
 
-// One request in progress. h2o calls back with its address; it lives until h2o is done with it.
-class ExchangeState : public std::enable_shared_from_this<ExchangeState>
+// A socket that is closed when its owner goes.
+struct SocketCloser
+{
+    void operator()(h2o_socket_t *socket) const
+    {
+        socket->data = nullptr;
+        h2o_socket_close(socket);
+    }
+};
+using SocketPtr = std::unique_ptr<h2o_socket_t, SocketCloser>;
+
+} // namespace
+
+// Connections that wait for their next request. Bytes or an end that come meanwhile belong to no
+// request, so either closes the connection.
+class IdleConnections
 {
 public:
-    ExchangeState(const kernel::Scheduler &scheduler, const ClientRequest &request,
-                  ClientHandlers handlers)
+    explicit IdleConnections(const kernel::Scheduler &scheduler)
         : m_scheduler(scheduler)
+    {}
+    IdleConnections(const IdleConnections &) = delete;
+    IdleConnections &operator=(const IdleConnections &) = delete;
+
+    void put(const kernel::Endpoint &endpoint, SocketPtr socket, kernel::Duration keepFor)
+    {
+        std::list<Idle> &list = m_idle[endpoint];
+        if (list.size() >= maxIdlePerEndpoint)
+            list.pop_front();
+        const kernel::Instant now = m_scheduler.now();
+        list.push_back({ this, endpoint, std::move(socket), now, now + keepFor });
+        Idle &idle = list.back();
+        idle.socket->data = &idle;
+        h2o_socket_read_start(idle.socket.get(), [](h2o_socket_t *sock, const char *) {
+            if (auto *owner = static_cast<Idle *>(sock->data))
+                owner->owner->drop(*owner);
+        });
+    }
+
+    // The connection that was used last, if it was idle for less than the time given.
+    SocketPtr take(const kernel::Endpoint &endpoint, kernel::Duration maxIdle)
+    {
+        const auto found = m_idle.find(endpoint);
+        if (found == m_idle.end())
+            return nullptr;
+        std::list<Idle> &list = found->second;
+        const kernel::Instant now = m_scheduler.now();
+        std::erase_if(list, [now](const Idle &idle) { return idle.keepUntil <= now; });
+        if (list.empty() || now - list.back().since >= maxIdle)
+            return nullptr;
+        SocketPtr socket = std::move(list.back().socket);
+        list.pop_back();
+        socket->data = nullptr;
+        h2o_socket_read_stop(socket.get());
+        return socket;
+    }
+
+    void forget(const kernel::Endpoint &endpoint) { m_idle.erase(endpoint); }
+
+private:
+    struct Idle
+    {
+        IdleConnections *owner;
+        kernel::Endpoint endpoint;
+        SocketPtr socket;
+        kernel::Instant since;
+        kernel::Instant keepUntil;
+    };
+
+    void drop(const Idle &idle)
+    {
+        std::list<Idle> &list = m_idle[idle.endpoint];
+        list.remove_if([&idle](const Idle &other) { return &other == &idle; });
+    }
+
+    const kernel::Scheduler &m_scheduler;
+    std::map<kernel::Endpoint, std::list<Idle>> m_idle;
+};
+
+namespace {
+
+// One request in progress. Its owner holds it through a handle; callbacks hold it while they run.
+class ExchangeState : public std::enable_shared_from_this<ExchangeState>
+{
+public:
+    ExchangeState(EventLoop &loop, std::shared_ptr<IdleConnections> idle,
+                  const ClientRequest &request, ClientHandlers handlers)
+        : m_loop(loop)
+        , m_idle(std::move(idle))
+        , m_endpoint(request.endpoint)
         , m_handlers(std::move(handlers))
         , m_connectTimeout(request.connectTimeout)
         , m_idleTimeout(request.idleTimeout)
+        , m_maxIdle(request.maxIdle)
+        , m_echoedHeader(request.echoedHeader)
         , m_bytes(formatHead(request) + request.body)
-        , m_buffer(h2o_iovec_init(m_bytes.data(), m_bytes.size()))
-        , m_isHead(request.method == "HEAD")
-    {}
+        , m_parser(request.method == "HEAD",
+                   { [this](ClientHead head) { onHead(std::move(head)); },
+                     [this](std::string_view piece) { onBody(piece); } })
+    {
+        if (!m_echoedHeader.empty())
+            m_echoedValue = findHeader(request.headers, m_echoedHeader).value_or("");
+    }
+    ExchangeState(const ExchangeState &) = delete;
+    ExchangeState &operator=(const ExchangeState &) = delete;
 
-    void begin(h2o_http1client_ctx_t *context, h2o_socketpool_t *pool)
+    // Begins on a kept connection or opens one; tells whether one was opened.
+    bool begin(SocketAddress address)
     {
-        m_self = shared_from_this();
-        m_timer = kernel::Timer(m_scheduler, m_connectTimeout, [this] { onConnectTimeout(); });
-        m_beginning = true;
-        h2o_http1client_connect_with_pool(&m_client, this, context, pool, &onConnect);
-        m_beginning = false;
+        m_socket = m_idle->take(m_endpoint, m_maxIdle);
+        if (m_socket) {
+            // The owner gets its handle before the first callback.
+            m_timer = kernel::Timer(scheduler(), kernel::Duration::zero(), [this] { sendRequest(); });
+            return false;
+        }
+        m_timer = kernel::Timer(scheduler(), m_connectTimeout, [this] {
+            end(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed,
+                               "no connection within the time-out" });
+        });
+        h2o_socket_t *socket
+            = h2o_socket_connect(m_loop.native(), address.get(), address.length, &onConnect);
+        if (socket == nullptr) {
+            m_timer = kernel::Timer(scheduler(), kernel::Duration::zero(), [this] {
+                end(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, "connect failed" });
+            });
+            return true;
+        }
+        m_socket.reset(socket);
+        m_socket->data = this;
+        setConnectionTimeouts(h2o_socket_get_fd(socket));
+        return true;
     }
 
     // Ends the exchange for its owner; no handler is called any more.
     void abandon()
     {
-        m_abandoned = true;
-        if (m_ended || m_inCallback)
+        m_ended = true;
+        m_timer.cancel();
+        letGo();
+    }
+
+    void pauseReading(bool pause)
+    {
+        if (m_ended || !m_socket || !m_sent || pause == m_paused)
             return;
-        release(true);
+        m_paused = pause;
+        if (pause)
+            h2o_socket_read_stop(m_socket.get());
+        else
+            h2o_socket_read_start(m_socket.get(), &onRead);
     }
 
 private:
-    static ExchangeState *of(h2o_http1client_t *client)
+    const kernel::Scheduler &scheduler() const { return m_loop.scheduler(); }
+
+    static void onConnect(h2o_socket_t *socket, const char *error)
     {
-        return static_cast<ExchangeState *>(client->data);
+        auto *raw = static_cast<ExchangeState *>(socket->data);
+        if (raw == nullptr)
+            return;
+        const auto self = raw->shared_from_this();
+        if (error != nullptr)
+            self->end(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, error });
+        else
+            self->sendRequest();
     }
 
-    static h2o_http1client_head_cb onConnect(h2o_http1client_t *client, const char *error,
-                                             h2o_iovec_t **buffers, std::size_t *count, int *isHead)
+    void sendRequest()
     {
-        ExchangeState *self = of(client);
-        if (error != nullptr) {
-            self->onConnectFailed({ kernel::ResultCode::UpstreamConnectFailed, error });
-            return nullptr;
-        }
-        const auto keepAlive = self->shared_from_this();
-        self->m_lastActivity = self->m_scheduler.now();
-        self->startIdleTimer(self->m_idleTimeout);
-        *buffers = &self->m_buffer;
-        *count = 1;
-        *isHead = self->m_isHead ? 1 : 0;
-        self->guarded([self] {
-            if (self->m_handlers.onSent)
-                self->m_handlers.onSent();
-        });
-        if (self->m_abandoned) {
-            self->release(false);
-            return nullptr;
+        const auto self = shared_from_this();
+        m_sent = true;
+        m_lastActivity = scheduler().now();
+        startIdleTimer(m_idleTimeout);
+        m_inCallback = true;
+        if (m_handlers.onSent)
+            m_handlers.onSent();
+        m_inCallback = false;
+        if (m_ended) {
+            letGo();
+            return;
         }
-        return &onHead;
+        m_socket->data = this;
+        m_writing = true;
+        h2o_iovec_t buffer = h2o_iovec_init(m_bytes.data(), m_bytes.size());
+        h2o_socket_write(m_socket.get(), &buffer, 1, &onWritten);
+        // The answer may come before the request is read whole.
+        if (m_socket)
+            h2o_socket_read_start(m_socket.get(), &onRead);
     }
 
-    static h2o_http1client_body_cb onHead(h2o_http1client_t *client, const char *error, int,
-                                          int status, h2o_iovec_t, h2o_header_t *headers,
-                                          std::size_t count, int)
+    static void onWritten(h2o_socket_t *socket, const char *error)
     {
-        ExchangeState *self = of(client);
-        const bool ended = error == h2o_http1client_error_is_eos;
-        if (error != nullptr && !ended) {
+        auto *raw = static_cast<ExchangeState *>(socket->data);
+        if (raw == nullptr)
+            return;
+        const auto self = raw->shared_from_this();
+        self->m_writing = false;
+        if (error != nullptr)
             self->end(kernel::Error{ kernel::ResultCode::UpstreamBroken, error });
-            return nullptr;
-        }
-        const auto keepAlive = self->shared_from_this();
-        self->m_lastActivity = self->m_scheduler.now();
-        self->guarded([&] {
-            if (self->m_handlers.onHead)
-                self->m_handlers.onHead(readHead(status, headers, count));
-        });
-        if (self->m_abandoned) {
-            self->release(false);
-            return nullptr;
-        }
-        if (ended) {
-            self->end(kernel::Done{});
-            return nullptr;
-        }
-        return &onBody;
     }
 
-    static int onBody(h2o_http1client_t *client, const char *error)
+    static void onRead(h2o_socket_t *socket, const char *error)
+    {
+        auto *raw = static_cast<ExchangeState *>(socket->data);
+        if (raw == nullptr)
+            return;
+        const auto self = raw->shared_from_this();
+        self->m_lastActivity = self->scheduler().now();
+        self->onInput(error);
+    }
+
+    void onInput(const char *error)
     {
-        constexpr int stop = -1;
-        ExchangeState *self = of(client);
-        const auto keepAlive = self->shared_from_this();
-        self->m_lastActivity = self->m_scheduler.now();
-        h2o_buffer_t *&input = client->sock->input;
+        h2o_buffer_t *&input = m_socket->input;
         if (input->size > 0) {
-            self->guarded([&] {
-                if (self->m_handlers.onBody)
-                    self->m_handlers.onBody({ input->bytes, input->size });
-            });
+            const AnswerParser::State state = parse({ input->bytes, input->size });
+            if (m_ended)
+                return;
+            const bool extraBytes = m_parser.consumed() < input->size;
             h2o_buffer_consume(&input, input->size);
+            if (state != AnswerParser::State::Reading) {
+                finish(state, extraBytes || error != nullptr);
+                return;
+            }
         }
-        if (self->m_abandoned) {
-            self->release(false);
-            return stop;
+        if (error == nullptr)
+            return;
+        // Only an orderly close ends an answer without a length; a reset cuts it.
+        if (error == h2o_socket_error_closed && m_headSeen) {
+            m_inCallback = true;
+            const AnswerParser::State state = m_parser.endOfInput();
+            m_inCallback = false;
+            if (m_ended) {
+                letGo();
+                return;
+            }
+            if (state == AnswerParser::State::Complete) {
+                finish(state, true);
+                return;
+            }
         }
-        if (error == h2o_http1client_error_is_eos)
-            self->end(kernel::Done{});
-        else if (error != nullptr)
-            self->end(kernel::Error{ kernel::ResultCode::UpstreamBroken, error });
-        return 0;
+        end(kernel::Error{ kernel::ResultCode::UpstreamBroken, error });
     }
 
-    template<class Function>
-    void guarded(Function function)
+    void finish(AnswerParser::State state, bool connectionSpent)
     {
-        if (m_abandoned)
+        if (state == AnswerParser::State::Malformed) {
+            end(kernel::Error{ kernel::ResultCode::UpstreamProtocol, "the answer is malformed" });
             return;
-        m_inCallback = true;
-        function();
-        m_inCallback = false;
+        }
+        if (!connectionSpent && !m_writing && m_parser.keepAlive())
+            keepConnection();
+        end(kernel::Done{});
     }
 
-    void startIdleTimer(kernel::Duration delay)
+    void keepConnection()
     {
-        m_timer = kernel::Timer(m_scheduler, delay, [this] { onIdleTimer(); });
+        m_socket->data = nullptr;
+        h2o_socket_read_stop(m_socket.get());
+        m_idle->put(m_endpoint, std::move(m_socket), m_keepFor);
     }
 
-    // Activity only notes its time; the timer finds out here whether the silence was long enough.
-    void onIdleTimer()
+    void onHead(ClientHead head)
     {
-        const kernel::Duration silence = m_scheduler.now() - m_lastActivity;
-        if (silence < m_idleTimeout) {
-            startIdleTimer(m_idleTimeout - silence);
+        m_headSeen = true;
+        if (!m_echoedHeader.empty()
+            && findHeader(head.headers, m_echoedHeader).value_or("") != m_echoedValue) {
+            end(kernel::Error{ kernel::ResultCode::UpstreamProtocol,
+                               "the answer belongs to another request" });
             return;
         }
-        cancelWith({ kernel::ResultCode::UpstreamTimeout, "no answer within the time-out" });
+        if (const auto idleTime = advertisedIdleTime(head.headers)) {
+            m_keepFor = std::chrono::duration_cast<kernel::Duration>(*idleTime
+                                                                    * keptPartOfKeepAlive);
+        }
+        if (m_handlers.onHead && !m_ended)
+            m_handlers.onHead(head);
     }
 
-    // A failure within the call that began the exchange is told on the next turn, so that the
-    // owner has the exchange in hand when it hears of its end.
-    void onConnectFailed(const kernel::Error &error)
+    void onBody(std::string_view piece)
     {
-        m_client = nullptr;
-        if (!m_beginning) {
-            end(error);
-            return;
-        }
-        m_timer
-            = kernel::Timer(m_scheduler, kernel::Duration::zero(), [this, error] { end(error); });
+        if (m_handlers.onBody && !m_ended)
+            m_handlers.onBody(piece);
     }
 
-    void onConnectTimeout()
+    void startIdleTimer(kernel::Duration delay)
     {
-        cancelWith(
-            { kernel::ResultCode::UpstreamConnectFailed, "no connection within the time-out" });
+        m_timer = kernel::Timer(scheduler(), delay, [this] { onIdleTimer(); });
     }
 
-    void cancelWith(const kernel::Error &error)
+    // Activity only notes its time; the timer finds out here whether the silence was long enough.
+    void onIdleTimer()
     {
-        const auto keepAlive = shared_from_this();
-        h2o_http1client_cancel(std::exchange(m_client, nullptr));
-        end(error);
+        const kernel::Duration silence = scheduler().now() - m_lastActivity;
+        if (silence < m_idleTimeout) {
+            startIdleTimer(m_idleTimeout - silence);
+            return;
+        }
+        const auto self = shared_from_this();
+        end({ kernel::Error{ kernel::ResultCode::UpstreamTimeout, "no answer within the time-out" } });
     }
 
-    // Lets go of h2o's request and tells the owner.
-    void end(kernel::Completion<kernel::Done> outcome)
+    // Frees the connection and the handlers, but not while a handler runs or the parser reads from
+    // the connection's buffer.
+    void letGo()
     {
-        const auto keepAlive = shared_from_this();
-        release(false);
-        if (!m_abandoned && m_handlers.onEnd)
-            m_handlers.onEnd(std::move(outcome));
+        if (m_inCallback)
+            return;
+        m_socket.reset();
         m_handlers = {};
     }
 
-    void release(bool cancelClient)
+    AnswerParser::State parse(std::string_view bytes)
+    {
+        m_inCallback = true;
+        const AnswerParser::State state = m_parser.feed(bytes);
+        m_inCallback = false;
+        if (m_ended)
+            letGo();
+        return state;
+    }
+
+    // Lets go of the connection and tells the owner.
+    void end(kernel::Completion<kernel::Done> outcome)
     {
-        const auto keepAlive = shared_from_this();
+        if (m_ended)
+            return;
+        const auto self = shared_from_this();
         m_ended = true;
         m_timer.cancel();
-        m_self = nullptr;
-        h2o_http1client_t *client = std::exchange(m_client, nullptr);
-        if (cancelClient && client != nullptr)
-            h2o_http1client_cancel(client);
+        const auto onEnd = std::move(m_handlers.onEnd);
+        letGo();
+        if (onEnd)
+            onEnd(std::move(outcome));
     }
 
-    const kernel::Scheduler &m_scheduler;
+    EventLoop &m_loop;
+    std::shared_ptr<IdleConnections> m_idle;
+    kernel::Endpoint m_endpoint;
     ClientHandlers m_handlers;
     kernel::Duration m_connectTimeout;
     kernel::Duration m_idleTimeout;
+    kernel::Duration m_maxIdle;
+    // Kept connections of upstreams that state no idle time are dropped after this.
+    kernel::Duration m_keepFor = std::chrono::seconds(5);
+    std::string m_echoedHeader;
+    std::string m_echoedValue;
     std::string m_bytes;
-    h2o_iovec_t m_buffer;
-    bool m_isHead;
-    h2o_http1client_t *m_client = nullptr;
+    AnswerParser m_parser;
+    SocketPtr m_socket;
     kernel::Timer m_timer;
     kernel::Instant m_lastActivity{};
-    bool m_beginning = false;
+    bool m_sent = false;
+    bool m_writing = false;
+    bool m_paused = false;
+    bool m_headSeen = false;
     bool m_inCallback = false;
-    bool m_abandoned = false;
     bool m_ended = false;
-    std::shared_ptr<ExchangeState> m_self;
 };
 
 class ExchangeHandle : public Exchange
@@ -261,6 +420,8 @@
     ExchangeHandle &operator=(const ExchangeHandle &) = delete;
     ~ExchangeHandle() override { m_state->abandon(); }
 
+    void pauseReading(bool pause) override { m_state->pauseReading(pause); }
+
 private:
     std::shared_ptr<ExchangeState> m_state;
 };
@@ -281,71 +442,46 @@
 
 struct Client::Impl
 {
-    struct PoolDeleter
-    {
-        void operator()(h2o_socketpool_t *pool) const
-        {
-            h2o_socketpool_dispose(pool);
-            delete pool;
-        }
-    };
-    using Pool = std::unique_ptr<h2o_socketpool_t, PoolDeleter>;
-
     explicit Impl(EventLoop &eventLoop)
         : loop(eventLoop)
-    {
-        h2o_timeout_init(loop.native(), &timeout, libraryTimeoutMilliseconds);
-        context.loop = loop.native();
-        context.io_timeout = &timeout;
-    }
-    Impl(const Impl &) = delete;
-    Impl &operator=(const Impl &) = delete;
-    ~Impl()
-    {
-        pools.clear();
-        h2o_timeout_dispose(loop.native(), &timeout);
-    }
-
-    kernel::Result<h2o_socketpool_t *> poolOf(const kernel::Endpoint &endpoint);
+        , idle(std::make_shared<IdleConnections>(eventLoop.scheduler()))
+    {}
 
     EventLoop &loop;
-    h2o_timeout_t timeout{};
-    h2o_http1client_ctx_t context{};
-    std::map<kernel::Endpoint, Pool> pools;
+    std::shared_ptr<IdleConnections> idle;
+    std::uint64_t opened = 0;
 };
 
-kernel::Result<h2o_socketpool_t *> Client::Impl::poolOf(const kernel::Endpoint &endpoint)
-{
-    const auto found = pools.find(endpoint);
-    if (found != pools.end())
-        return found->second.get();
-    auto address = toSocketAddress(endpoint);
-    if (!address)
-        return address.error();
-    Pool pool(new h2o_socketpool_t{});
-    h2o_socketpool_init_by_address(pool.get(), address->get(), address->length, 0, poolCapacity);
-    h2o_socketpool_set_timeout(pool.get(), loop.native(), poolIdleMilliseconds);
-    return pools.emplace(endpoint, std::move(pool)).first->second.get();
-}
-
 Client::Client(EventLoop &loop)
     : m_impl(std::make_unique<Impl>(loop))
 {}
 
 Client::~Client() = default;
 
+std::uint64_t Client::connectionsOpened() const
+{
+    return m_impl->opened;
+}
+
+void Client::forget(const kernel::Endpoint &endpoint)
+{
+    m_impl->idle->forget(endpoint);
+}
+
 std::unique_ptr<Exchange> Client::send(const ClientRequest &request, ClientHandlers handlers)
 {
-    auto pool = kernel::capture([&] { return m_impl->poolOf(request.endpoint); });
-    const kernel::Scheduler &scheduler = m_impl->loop.scheduler();
-    if (!pool) {
-        kernel::Error error{ kernel::ResultCode::UpstreamConnectFailed, pool.error().message };
+    auto address = kernel::capture([&] { return toSocketAddress(request.endpoint); });
+    if (!address) {
+        kernel::Error error{ kernel::ResultCode::UpstreamConnectFailed, address.error().message };
         return std::make_unique<NoExchange>(
-            scheduler, [onEnd = std::move(handlers.onEnd), error] { onEnd(error); });
+            m_impl->loop.scheduler(),
+            [onEnd = std::move(handlers.onEnd), error] { onEnd(error); });
     }
-    auto state = std::make_shared<ExchangeState>(scheduler, request, std::move(handlers));
+    auto state
+        = std::make_shared<ExchangeState>(m_impl->loop, m_impl->idle, request, std::move(handlers));
     auto handle = std::make_unique<ExchangeHandle>(state);
-    state->begin(&m_impl->context, pool.value());
+    if (state->begin(address.value()))
+        ++m_impl->opened;
     return handle;
 }
 
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -18,11 +20,17 @@
     std::string method = "GET";
     /// Path with the query.
     std::string path = "/";
+    /// Value of the Host header; the endpoint where empty.
+    std::string host;
     Headers headers;
     std::string body;
     kernel::Duration connectTimeout = std::chrono::seconds(2);
     /// Longest silence before the head and between pieces of the body.
     kernel::Duration idleTimeout = std::chrono::seconds(30);
+    /// A kept connection is used only when it was idle for less than this; zero opens a new one.
+    kernel::Duration maxIdle = std::chrono::seconds(5);
+    /// Only an upstream that echoes this header may answer: its value must be the request's.
+    std::string echoedHeader;
 };
 
 /// Status and headers of an answer.
@@ -30,6 +38,8 @@
 {
     int status = 0;
     Headers headers;
+    /// The body's length, where the answer states one.
+    std::optional<std::uint64_t> contentLength;
 };
 
 /// Receives an answer as it arrives. Each function may be empty.
@@ -40,7 +50,8 @@
     std::function<void(const ClientHead &)> onHead;
     std::function<void(std::string_view piece)> onBody;
     /// Called once, last. Errors: UpstreamConnectFailed (nothing was sent), UpstreamTimeout,
-    /// UpstreamBroken.
+    /// UpstreamBroken (closed or reset before the end), UpstreamProtocol (bytes that are no answer
+    /// to this request).
     std::function<void(kernel::Completion<kernel::Done>)> onEnd;
 };
 
@@ -56,6 +67,8 @@
 {
 public:
     virtual ~Exchange() = default;
+    /// Stops or goes on reading the answer, so that a slow reader bounds what is held.
+    virtual void pauseReading(bool pause) { (void) pause; }
 };
 
 /// An HTTP/1.1 client with a pool of connections for each endpoint.
@@ -70,6 +83,11 @@
     /// Sends a request; the caller keeps the exchange until onEnd.
     std::unique_ptr<Exchange> send(const ClientRequest &request, ClientHandlers handlers);
 
+    /// Connections that were opened, ever.
+    std::uint64_t connectionsOpened() const;
+    /// Closes the idle connections to an endpoint, for its process is gone.
+    void forget(const kernel::Endpoint &endpoint);
+
     /// Sends a request and collects the whole answer; it can't be cancelled.
     void fetch(const ClientRequest &request, kernel::Callback<ClientResponse> callback);
 
--- a/src/framework/http/internal/eventloop.cpp
+++ b/src/framework/http/internal/eventloop.cpp
@@ -19,14 +19,36 @@
 
 constexpr int noWaitLimit = std::numeric_limits<int>::max();
 
-// Written by the signal handler; -1 while no loop listens for signals.
-volatile std::sig_atomic_t terminateFd = -1;
+// Written by the signal handlers; -1 while no loop listens for signals.
+volatile std::sig_atomic_t signalFd = -1;
+volatile std::sig_atomic_t terminatePending = 0;
+volatile std::sig_atomic_t reloadPending = 0;
 
-void onTerminateSignal(int)
+void wakeLoop()
 {
     const std::uint64_t one = 1;
-    if (terminateFd >= 0)
-        (void) !write(terminateFd, &one, sizeof one);
+    if (signalFd >= 0)
+        (void) !write(signalFd, &one, sizeof one);
+}
+
+void onTerminateSignal(int)
+{
+    terminatePending = 1;
+    wakeLoop();
+}
+
+void onReloadSignal(int)
+{
+    reloadPending = 1;
+    wakeLoop();
+}
+
+void handleSignal(int signal, void (*handler)(int))
+{
+    struct sigaction action
+    {};
+    action.sa_handler = handler;
+    sigaction(signal, &action, nullptr);
 }
 
 kernel::Instant steadyNow()
@@ -55,6 +77,10 @@
     std::unordered_map<kernel::TimerId, Key> timerKeys;
     h2o_socket_t *signalSocket = nullptr;
     std::function<void()> terminate;
+    std::function<void()> reload;
+
+    void listenForSignals();
+    void takeSignals();
 
     kernel::TimerId startTimer(kernel::Duration delay, std::function<void()> function);
     void cancelTimer(kernel::TimerId id);
@@ -111,6 +137,32 @@
     runDueTimers();
 }
 
+void EventLoop::Impl::listenForSignals()
+{
+    if (signalSocket != nullptr)
+        return;
+    const int fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    signalFd = fd;
+    signalSocket = h2o_evloop_socket_create(loop, fd, 0);
+    signalSocket->data = this;
+    h2o_socket_read_start(signalSocket, [](h2o_socket_t *socket, const char *) {
+        h2o_buffer_consume(&socket->input, socket->input->size);
+        static_cast<Impl *>(socket->data)->takeSignals();
+    });
+}
+
+void EventLoop::Impl::takeSignals()
+{
+    if (reloadPending != 0 && reload) {
+        reloadPending = 0;
+        reload();
+    }
+    if (terminatePending != 0 && terminate) {
+        terminatePending = 0;
+        terminate();
+    }
+}
+
 EventLoop::EventLoop()
     : m_impl(std::make_unique<Impl>())
 {
@@ -128,7 +180,7 @@
 EventLoop::~EventLoop()
 {
     if (m_impl->signalSocket != nullptr) {
-        terminateFd = -1;
+        signalFd = -1;
         h2o_socket_close(m_impl->signalSocket);
     }
     // h2o asserts that nothing uses the loop; what a stuck connection holds is left to the exit.
@@ -177,22 +229,16 @@
 void EventLoop::onTerminate(std::function<void()> function)
 {
     m_impl->terminate = std::move(function);
-    if (m_impl->signalSocket != nullptr)
-        return;
-    const int fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    terminateFd = fd;
-    m_impl->signalSocket = h2o_evloop_socket_create(m_impl->loop, fd, 0);
-    m_impl->signalSocket->data = m_impl.get();
-    h2o_socket_read_start(m_impl->signalSocket, [](h2o_socket_t *socket, const char *) {
-        auto *impl = static_cast<Impl *>(socket->data);
-        h2o_buffer_consume(&socket->input, socket->input->size);
-        impl->terminate();
-    });
-    struct sigaction action
-    {};
-    action.sa_handler = onTerminateSignal;
-    sigaction(SIGTERM, &action, nullptr);
-    sigaction(SIGINT, &action, nullptr);
+    m_impl->listenForSignals();
+    handleSignal(SIGTERM, onTerminateSignal);
+    handleSignal(SIGINT, onTerminateSignal);
+}
+
+void EventLoop::onReload(std::function<void()> function)
+{
+    m_impl->reload = std::move(function);
+    m_impl->listenForSignals();
+    handleSignal(SIGHUP, onReloadSignal);
 }
 
 h2o_evloop_t *EventLoop::native() const
--- a/src/framework/http/internal/eventloop.h
+++ b/src/framework/http/internal/eventloop.h
@@ -32,6 +32,8 @@
 
     /// Calls the function on the loop after the process got one of SIGTERM and SIGINT.
     void onTerminate(std::function<void()> function);
+    /// Calls the function on the loop after the process got SIGHUP.
+    void onReload(std::function<void()> function);
 
     /// The h2o loop; for the libraries that put their own sockets on it.
     st_h2o_evloop_t *native() const;
--- a/src/framework/http/internal/message.cpp
+++ b/src/framework/http/internal/message.cpp
@@ -42,6 +42,36 @@
     return static_cast<std::size_t>(std::ranges::count(headers, name, &Header::name));
 }
 
+bool isConnectionHeader(const Headers &headers, std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> always{
+        "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization",
+        "proxy-connection",  "te",         "trailer",            "transfer-encoding",
+        "content-length",    "upgrade",    "host",
+    };
+    if (std::ranges::find(always, name) != always.end())
+        return true;
+    for (const Header &header : headers) {
+        if (header.name != "connection")
+            continue;
+        std::string_view options = header.value;
+        while (!options.empty()) {
+            const std::size_t end = std::min(options.find(','), options.size());
+            std::string_view option = options.substr(0, end);
+            options.remove_prefix(std::min(end + 1, options.size()));
+            while (!option.empty() && option.front() == ' ')
+                option.remove_prefix(1);
+            while (!option.empty() && option.back() == ' ')
+                option.remove_suffix(1);
+            if (std::ranges::equal(option, name, [](unsigned char a, unsigned char b) {
+                    return std::tolower(a) == b;
+                }))
+                return true;
+        }
+    }
+    return false;
+}
+
 std::optional<std::string> queryParameter(std::string_view query, std::string_view name)
 {
     while (!query.empty()) {
--- a/src/framework/http/internal/message.h
+++ b/src/framework/http/internal/message.h
@@ -24,6 +24,10 @@
 /// Number of headers of that name (lower case).
 std::size_t countHeaders(const Headers &headers, std::string_view name);
 
+/// Whether a header (lower case) concerns one connection only, among these headers: it says how the
+/// message is framed, or Connection names it. Host is one of them, since each side sets its own.
+bool isConnectionHeader(const Headers &headers, std::string_view name);
+
 /// A whole request as a server receives it.
 struct ServerRequest
 {
@@ -32,6 +36,10 @@
     std::string path;
     /// Query without the question mark.
     std::string query;
+    /// Path and query as the caller wrote them.
+    std::string target;
+    /// Value of the Host header.
+    std::string host;
     Headers headers;
     std::string body;
     /// IP address of the peer.
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -23,8 +23,20 @@
         return "Not Found";
     case 429:
         return "Too Many Requests";
+    case 408:
+        return "Request Timeout";
+    case 413:
+        return "Payload Too Large";
+    case 421:
+        return "Misdirected Request";
+    case 500:
+        return "Internal Server Error";
+    case 502:
+        return "Bad Gateway";
     case 503:
         return "Service Unavailable";
+    case 504:
+        return "Gateway Timeout";
     default:
         return status < 400 ? "OK" : "Error";
     }
@@ -208,13 +220,11 @@
         onClosed();
 }
 
-bool H2oResponder::callerHungUp() const
+int H2oResponder::descriptor() const
 {
     if (m_request == nullptr)
-        return true;
-    h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
-    char byte = 0;
-    return recv(h2o_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        return -1;
+    return h2o_socket_get_fd(m_request->conn->callbacks->get_socket(m_request->conn));
 }
 
 void H2oResponder::end()
--- a/src/framework/http/internal/responder.h
+++ b/src/framework/http/internal/responder.h
@@ -38,8 +38,8 @@
     /// Whether nothing was sent since the last call; a failed write would show that the caller
     /// has gone.
     bool silentSinceLastCheck() { return m_request != nullptr && !std::exchange(m_wrote, false); }
-    /// Whether the caller closed its connection; asks the system without reading.
-    bool callerHungUp() const;
+    /// The connection's descriptor; -1 once the answer has ended.
+    int descriptor() const;
     /// Ends the answer because its caller has gone.
     void callerGone();
     /// The same where h2o has not noticed; its connection is closed too. Waits where h2o is
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -14,6 +15,7 @@
 #include "http/internal/errorfilter.h"
 #include "http/internal/h2oheaders.h"
 #include "http/internal/responder.h"
+#include "http/internal/sockettimeouts.h"
 #include "http/internal/tls.h"
 
 namespace acaciasail::http {
@@ -21,9 +23,9 @@
 namespace {
 
 // How often callers to whom nothing was sent are checked for having gone.
-constexpr std::chrono::milliseconds hangUpCheckInterval{ 250 };
+constexpr std::chrono::milliseconds hangUpCheckInterval{ 100 };
 // Requests that finish sooner than this are not checked.
-constexpr std::chrono::milliseconds hangUpCheckAge{ 200 };
+constexpr std::chrono::milliseconds hangUpCheckAge{ 50 };
 
 std::string toText(h2o_iovec_t buffer)
 {
@@ -46,6 +48,8 @@
         result.query.assign(request->path.base + request->query_at + 1,
                             request->path.len - request->query_at - 1);
     }
+    result.target = toText(request->input.path);
+    result.host = toText(request->input.authority);
     result.headers.reserve(request->headers.size);
     for (std::size_t i = 0; i < request->headers.size; ++i) {
         const h2o_header_t &header = request->headers.entries[i];
@@ -157,8 +161,7 @@
             h2o_socket_close(socket);
             continue;
         }
-        const int on = 1;
-        setsockopt(h2o_socket_get_fd(socket), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        setConnectionTimeouts(h2o_socket_get_fd(socket));
         auto *connection = new Connection{ this, socket };
         connections.insert(connection);
         socket->on_close.data = connection;
@@ -184,13 +187,21 @@
 void Server::Impl::checkHangUps()
 {
     const kernel::Instant oldest = loop.scheduler().now() - hangUpCheckAge;
-    std::vector<std::shared_ptr<H2oResponder>> gone;
+    std::vector<std::shared_ptr<H2oResponder>> waiting;
+    std::vector<pollfd> descriptors;
     for (const auto &[responder, since] : inProgress) {
-        if (since <= oldest && responder->silentSinceLastCheck() && responder->callerHungUp())
-            gone.push_back(responder->shared_from_this());
+        if (since > oldest || !responder->silentSinceLastCheck())
+            continue;
+        waiting.push_back(responder->shared_from_this());
+        descriptors.push_back({ responder->descriptor(), POLLRDHUP, 0 });
+    }
+    // One call for all connections; it reads nothing, so pipelined requests stay where they are.
+    if (!descriptors.empty() && poll(descriptors.data(), descriptors.size(), 0) > 0) {
+        for (std::size_t i = 0; i < waiting.size(); ++i) {
+            if ((descriptors[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0)
+                waiting[i]->hangUp();
+        }
     }
-    for (const auto &responder : gone)
-        responder->hangUp();
     hangUpTimer = kernel::Timer(loop.scheduler(), hangUpCheckInterval, [this] { checkHangUps(); });
 }
 
@@ -267,6 +278,31 @@
     h2o_context_request_shutdown(&m_impl->context);
 }
 
+void Server::setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout)
+{
+    m_impl->config.max_request_entity_size = maxBodyBytes;
+    m_impl->context.http1.req_timeout.timeout
+        = static_cast<std::uint64_t>(kernel::toMilliseconds(requestTimeout));
+}
+
+void Server::endConnectionsAfterAnswers()
+{
+    h2o_context_request_shutdown(&m_impl->context);
+}
+
+void Server::closeIdleConnections()
+{
+    std::unordered_set<int> busy;
+    for (const auto &[responder, since] : m_impl->inProgress)
+        busy.insert(responder->descriptor());
+    for (const Impl::Connection *connection : m_impl->connections) {
+        const int fd = h2o_socket_get_fd(connection->socket);
+        // What has arrived and was not read yet is still read and answered.
+        if (!busy.contains(fd))
+            shutdown(fd, SHUT_RD);
+    }
+}
+
 std::size_t Server::requestsInProgress() const
 {
     return m_impl->inProgress.size();
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -77,6 +77,12 @@
     kernel::Endpoint endpoint() const;
     /// Closes the listener and asks connections to end; requests in progress are finished.
     void beginShutdown();
+    /// Changes the limits of requests from now on.
+    void setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout);
+    /// Answers end their connections from now on; new connections are still taken.
+    void endConnectionsAfterAnswers();
+    /// Closes the connections on which no request is in progress.
+    void closeIdleConnections();
     /// Requests whose answers are not finished.
     std::size_t requestsInProgress() const;
     std::size_t connections() const;
--- a/src/framework/kernel/internal/eventlog.cpp
+++ b/src/framework/kernel/internal/eventlog.cpp
@@ -3,6 +3,8 @@
 #include <deque>
 #include <memory>
 
+#include <unistd.h>
+
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
@@ -11,6 +13,7 @@
 #include <nlohmann/json.hpp>
 
 #include "kernel/internal/events.h"
+#include "kernel/internal/linewriter.h"
 
 namespace acaciasail::kernel {
 
@@ -20,6 +23,7 @@
 {
     log4cxx::LoggerPtr logger;
     log4cxx::AppenderPtr appender;
+    std::unique_ptr<LineWriter> output;
     EventLevel level = EventLevel::Info;
     std::string vm;
     std::size_t recentLimit = 4096;
@@ -104,6 +108,10 @@
     log.level = options.level;
     log.vm = options.vm;
     log.recentLimit = options.recentLines;
+    if (options.toStandardOutput) {
+        log.output = std::make_unique<LineWriter>(STDOUT_FILENO);
+        return;
+    }
     const auto layout = std::make_shared<log4cxx::PatternLayout>(LOG4CXX_STR("%m%n"));
     if (options.file.empty()) {
         log.appender
@@ -121,6 +129,7 @@
 void closeEventLog()
 {
     LogState &log = state();
+    log.output = nullptr;
     if (!log.logger)
         return;
     log.logger->removeAllAppenders();
@@ -141,6 +150,8 @@
     if (info.level < log.level)
         return;
     std::string line = formatLine(info, fields);
+    if (log.output)
+        log.output->write(line);
     if (log.logger)
         log.logger->forcedLog(toLog4cxx(info.level), line, log4cxx::spi::LocationInfo());
     if (log.recentLimit == 0)
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -22,6 +22,9 @@
     DrainFinished = 1004,
     SettingsRejected = 1005,
     ListenerFailed = 1006,
+    SettingsReloaded = 1007,
+    ReadinessChanged = 1008,
+    LogLinesDropped = 1009,
     RequestReceived = 2001,
     RequestRefused = 2002,
     RequestFinished = 2003,
@@ -42,11 +45,6 @@
     StreamResumed = 3205,
     PoisonSuspected = 3206,
     PoisonRefused = 3207,
-    PlacementOrdered = 3301,
-    LeaseTaken = 3302,
-    LeaseLost = 3303,
-    OrderRefused = 3304,
-    PlacementSkipped = 3305,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
@@ -56,6 +54,11 @@
     DigestRepaired = 4007,
     StoreDown = 5001,
     StoreUp = 5002,
+    StoreCallFailed = 5003,
+    ObjectIgnored = 5004,
+    ConfigurationApplied = 5101,
+    UpstreamRegistration = 5102,
+    UpstreamsListed = 5103,
     PeerJoined = 6001,
     PeerSuspected = 6002,
     PeerFailed = 6003,
@@ -148,6 +151,9 @@
 {
     /// File to append to; empty for standard error.
     std::string file;
+    /// Writes to standard output without ever waiting for its reader; what it can't take is dropped
+    /// and counted. Goes before the file.
+    bool toStandardOutput = false;
     EventLevel level = EventLevel::Info;
     /// Fields put into every line, such as the VM.
     std::string vm;
--- a/src/framework/settings/internal/reader.cpp
+++ b/src/framework/settings/internal/reader.cpp
@@ -170,6 +170,14 @@
     return fallback;
 }
 
+double Reader::number(const std::string &key, double fallback)
+{
+    const toml::node *node = m_impl->find(key);
+    if (node != nullptr && node->is_integer())
+        return static_cast<double>(node->value_exact<std::int64_t>().value_or(0));
+    return m_impl->value<double>(key, "a number").value_or(fallback);
+}
+
 bool Reader::flag(const std::string &key, bool fallback)
 {
     return m_impl->value<bool>(key, "true or false").value_or(fallback);
--- a/src/framework/settings/internal/reader.h
+++ b/src/framework/settings/internal/reader.h
@@ -53,6 +53,8 @@
     std::string text(const std::string &key, const std::string &fallback);
     std::string requiredText(const std::string &key);
     std::int64_t integer(const std::string &key, std::int64_t fallback, IntegerRange range);
+    /// A whole number or a fraction.
+    double number(const std::string &key, double fallback);
     bool flag(const std::string &key, bool fallback);
     /// A whole number of milliseconds.
     kernel::Duration milliseconds(const std::string &key, kernel::Duration fallback,
--- a/src/gateway/internal/gateway.cpp
+++ b/src/gateway/internal/gateway.cpp
@@ -219,7 +219,7 @@
     m_core->router->daemonsChanged(std::move(daemons));
 }
 
-void Gateway::noteRatings(const std::vector<platform::Rating> &ratings)
+void Gateway::noteRatings(const std::vector<externals::Rating> &ratings)
 {
     m_core->router->noteRatings(ratings);
 }
--- a/src/gateway/internal/gateway.h
+++ b/src/gateway/internal/gateway.h
@@ -33,7 +33,7 @@
     /// The daemons of the fleet, this one among them.
     void daemonsChanged(std::vector<kernel::VmId> daemons);
     /// Ratings of answers, oldest first; may be empty.
-    void noteRatings(const std::vector<platform::Rating> &ratings);
+    void noteRatings(const std::vector<externals::Rating> &ratings);
     /// Another daemon's evidence on a roll-out.
     void noteEvidence(const routing::DecodedEvidence &evidence);
     const routing::RolloutBook &rollouts() const;
--- a/src/gateway/internal/options.h
+++ b/src/gateway/internal/options.h
@@ -6,7 +6,7 @@
 
 #include "kernel/kernel.h"
 #include "ledger/ledger.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "routing/routing.h"
 #include "table/table.h"
 
--- a/src/gateway/internal/router.cpp
+++ b/src/gateway/internal/router.cpp
@@ -221,13 +221,13 @@
         routing::noteAnswer(m_quality, *snapshot, answer);
 }
 
-void Router::noteRatings(const std::vector<platform::Rating> &ratings)
+void Router::noteRatings(const std::vector<externals::Rating> &ratings)
 {
     const table::SnapshotPtr snapshot = currentTable();
     if (!snapshot)
         return;
     routing::noteRatings(m_quality, *snapshot, ratings, m_scheduler.now());
-    for (const platform::Rating &rating : ratings)
+    for (const externals::Rating &rating : ratings)
         noteOutcome(rating.version, { .rating = rating.score });
 }
 
--- a/src/gateway/internal/router.h
+++ b/src/gateway/internal/router.h
@@ -45,7 +45,7 @@
     /// Notes an outcome of a version, and halts its roll-out if the evidence asks for it.
     void noteOutcome(const kernel::VersionId &version, const routing::RolloutOutcome &outcome);
     void noteAnswer(const routing::AnswerFacts &answer);
-    void noteRatings(const std::vector<platform::Rating> &ratings);
+    void noteRatings(const std::vector<externals::Rating> &ratings);
     void noteLoad(const kernel::UpstreamId &upstream, const routing::LoadReport &report);
     void noteEvidence(const routing::DecodedEvidence &evidence);
 
--- a/src/ledger/internal/claimrange.h
+++ b/src/ledger/internal/claimrange.h
@@ -94,7 +94,7 @@
 
     // Taking over (claimtakeover.cpp)
     void startTaking();
-    void takeObject(const kernel::Completion<platform::StoredObject> &outcome);
+    void takeObject(const kernel::Completion<externals::StoredObject> &outcome);
     void closeTerm(const RangeObject &object);
     void askMember(const ClaimMember &member, const EpochId &id);
     void memberAnswered(const DenyReply *reply, const ClaimMember &member);
@@ -108,7 +108,7 @@
     RangeObject currentObject() const;
     void writeObject();
     void takeWriteOutcome(const kernel::Completion<kernel::Revision> &outcome);
-    void settleWrite(const kernel::Completion<platform::StoredObject> &outcome);
+    void settleWrite(const kernel::Completion<externals::StoredObject> &outcome);
     void writeDone(kernel::Revision revision);
     void writeFailed(WriteFailure failure);
 
--- a/src/ledger/internal/claimstore.cpp
+++ b/src/ledger/internal/claimstore.cpp
@@ -60,11 +60,11 @@
     // Whether the object is this daemon's tells what became of the write.
     m_environment.store.read(
         rangeKey(m_range),
-        guarded<platform::StoredObject>(
-            [this](const Completion<platform::StoredObject> &read) { settleWrite(read); }));
+        guarded<externals::StoredObject>(
+            [this](const Completion<externals::StoredObject> &read) { settleWrite(read); }));
 }
 
-void ClaimRange::settleWrite(const Completion<platform::StoredObject> &outcome)
+void ClaimRange::settleWrite(const Completion<externals::StoredObject> &outcome)
 {
     const bool absent = !outcome.ok() && outcome.error().code == ResultCode::ObjectNotFound;
     if (!outcome.ok() && !absent) {
--- a/src/ledger/internal/claimtakeover.cpp
+++ b/src/ledger/internal/claimtakeover.cpp
@@ -51,8 +51,8 @@
     m_lastRepairAt = m_environment.scheduler->now();
     m_environment.store.read(
         rangeKey(m_range),
-        guarded<platform::StoredObject>(
-            [this](const Completion<platform::StoredObject> &outcome) { takeObject(outcome); }));
+        guarded<externals::StoredObject>(
+            [this](const Completion<externals::StoredObject> &outcome) { takeObject(outcome); }));
 }
 
 void ClaimRange::takeOver(std::function<void()> done)
@@ -63,7 +63,7 @@
         startTaking();
 }
 
-void ClaimRange::takeObject(const Completion<platform::StoredObject> &outcome)
+void ClaimRange::takeObject(const Completion<externals::StoredObject> &outcome)
 {
     if (!outcome.ok()) {
         if (outcome.error().code != ResultCode::ObjectNotFound) {
--- a/src/ledger/internal/environment.h
+++ b/src/ledger/internal/environment.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "wire/wire.h"
 
 namespace acaciasail::ledger {
@@ -15,7 +15,7 @@
     const kernel::Scheduler *scheduler = nullptr;
     wire::Transport transport;
     wire::PeersView peers;
-    platform::ObjectStore store;
+    externals::ObjectStore store;
     /// Differs at each start of the process, so that a VM that restarted without its memory is
     /// told from the one before.
     std::string boot;
--- a/src/ledger/tests/bills_tests.cpp
+++ b/src/ledger/tests/bills_tests.cpp
@@ -65,7 +65,7 @@
         BillSet bills;
         const auto store = fleet.store().objectStore();
         store.list(std::string(billPrefix),
-                   [&](const kernel::Completion<platform::ObjectList> &list) {
+                   [&](const kernel::Completion<externals::ObjectList> &list) {
                        for (const auto &object : list.value().objects)
                            EXPECT_TRUE(addBatch(bills, object.value));
                    });
--- a/src/ledger/tests/fleet.cpp
+++ b/src/ledger/tests/fleet.cpp
@@ -84,9 +84,9 @@
     return environment;
 }
 
-platform::ObjectStore Fleet::storeOf(int index)
+externals::ObjectStore Fleet::storeOf(int index)
 {
-    platform::ObjectStore store = m_store.objectStore();
+    externals::ObjectStore store = m_store.objectStore();
     const auto create = store.create;
     const auto update = store.update;
     const auto read = store.read;
@@ -111,9 +111,9 @@
     };
     store.read
         = [this, index, read, cut](const std::string &key,
-                                   const kernel::Callback<platform::StoredObject> &callback) {
+                                   const kernel::Callback<externals::StoredObject> &callback) {
               const auto answer = [this, index, boot = vm(index).boots,
-                                   callback](const Completion<platform::StoredObject> &outcome) {
+                                   callback](const Completion<externals::StoredObject> &outcome) {
                   runOn(index, boot, [callback, outcome] { callback(outcome); });
               };
               vm(index).storeCut ? later([answer, cut] { answer(cut); }) : read(key, answer);
--- a/src/ledger/tests/fleet.h
+++ b/src/ledger/tests/fleet.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "ledger/ledger.h"
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 
 namespace acaciasail::ledger {
 
@@ -64,7 +64,7 @@
 
     void advance(kernel::Duration span) { m_clock.advance(span); }
     kernel::ManualScheduler &clock() { return m_clock; }
-    platform::testing::FakeObjectStore &store() { return m_store; }
+    externals::testing::FakeObjectStore &store() { return m_store; }
     kernel::Random &random() { return m_random; }
     std::int64_t messages() const { return m_messages; }
 
@@ -77,10 +77,10 @@
     void call(int from, const kernel::Endpoint &to, const wire::Message &message,
               kernel::Duration timeout, const kernel::Callback<std::string> &callback);
     void later(const Guarded &function);
-    platform::ObjectStore storeOf(int index);
+    externals::ObjectStore storeOf(int index);
 
     kernel::ManualScheduler m_clock;
-    platform::testing::FakeObjectStore m_store;
+    externals::testing::FakeObjectStore m_store;
     kernel::Random m_random;
     std::vector<std::unique_ptr<Vm>> m_vms;
     std::int64_t m_messages = 0;
--- a/src/peers/internal/discovery.cpp
+++ b/src/peers/internal/discovery.cpp
@@ -32,7 +32,7 @@
     return unknown;
 }
 
-Discovery::Discovery(Node &node, Prober &prober, platform::VmList vms)
+Discovery::Discovery(Node &node, Prober &prober, externals::VmList vms)
     : m_node(node)
     , m_prober(prober)
     , m_vms(std::move(vms))
@@ -68,17 +68,17 @@
     if (!m_vms.list)
         return;
     m_vms.list([this, token = std::weak_ptr<bool>(m_token)](
-                   const kernel::Completion<std::vector<platform::VmEntry>> &completion) {
+                   const kernel::Completion<std::vector<externals::VmEntry>> &completion) {
         if (!token.expired() && completion.ok())
             takeList(completion.value());
     });
 }
 
-void Discovery::takeList(const std::vector<platform::VmEntry> &entries)
+void Discovery::takeList(const std::vector<externals::VmEntry> &entries)
 {
     m_candidates = m_node.options.seeds;
-    for (const platform::VmEntry &entry : entries) {
-        if (entry.role != platform::VmRole::Entry)
+    for (const externals::VmEntry &entry : entries) {
+        if (entry.role != externals::VmRole::Entry)
             continue;
         m_candidates.push_back(entry.endpoint);
         const Member *member = m_node.members.find(entry.id);
--- a/src/peers/internal/discovery.h
+++ b/src/peers/internal/discovery.h
@@ -4,7 +4,7 @@
 
 #include "peers/internal/node.h"
 #include "peers/internal/prober.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 
 namespace acaciasail::peers {
 
@@ -22,7 +22,7 @@
 class Discovery
 {
 public:
-    Discovery(Node &node, Prober &prober, platform::VmList vms);
+    Discovery(Node &node, Prober &prober, externals::VmList vms);
 
     void start();
     /// At least one other daemon is known, or the time to look for one is over.
@@ -32,13 +32,13 @@
 
 private:
     void round();
-    void takeList(const std::vector<platform::VmEntry> &entries);
+    void takeList(const std::vector<externals::VmEntry> &entries);
     void greetSome();
     void settle();
 
     Node &m_node;
     Prober &m_prober;
-    platform::VmList m_vms;
+    externals::VmList m_vms;
     std::vector<kernel::Endpoint> m_candidates;
     std::shared_ptr<bool> m_token = std::make_shared<bool>(true);
     bool m_settled = false;
--- a/src/peers/internal/peers.h
+++ b/src/peers/internal/peers.h
@@ -13,7 +13,7 @@
 #include "peers/internal/rows.h"
 #include "peers/internal/survey.h"
 #include "peers/internal/topic.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "wire/wire.h"
 
 namespace acaciasail::peers {
@@ -44,7 +44,7 @@
 {
     wire::Transport transport;
     /// May be empty where there is no platform.
-    platform::VmList vms;
+    externals::VmList vms;
     RowSource rowSource;
     RowSink rowSink;
 };
--- a/src/peers/tests/fleet.cpp
+++ b/src/peers/tests/fleet.cpp
@@ -123,7 +123,7 @@
     PeersDependencies dependencies;
     dependencies.transport = network.transportOf(endpoint);
     dependencies.vms.list
-        = [this](const kernel::Callback<std::vector<platform::VmEntry>> &callback) {
+        = [this](const kernel::Callback<std::vector<externals::VmEntry>> &callback) {
               callback(vmList());
           };
     dependencies.rowSource = daemon->table.source();
@@ -153,11 +153,11 @@
 }
 
 /// The platform's list lags: it shows daemons that run, and keeps those that crashed.
-std::vector<platform::VmEntry> Fleet::vmList() const
+std::vector<externals::VmEntry> Fleet::vmList() const
 {
-    std::vector<platform::VmEntry> entries;
+    std::vector<externals::VmEntry> entries;
     for (const auto &[id, daemon] : daemons) {
-        platform::VmEntry entry;
+        externals::VmEntry entry;
         entry.id = daemon->peer.id;
         entry.dataCentre = daemon->peer.dataCentre;
         entry.endpoint = daemon->peer.endpoint;
--- a/src/peers/tests/fleet.h
+++ b/src/peers/tests/fleet.h
@@ -95,7 +95,7 @@
 private:
     void watch(TestDaemon &daemon);
     void readStore(TestDaemon &daemon);
-    std::vector<platform::VmEntry> vmList() const;
+    std::vector<externals::VmEntry> vmList() const;
 
     std::int64_t m_revision = 0;
     std::map<std::string, std::string> m_dataCentreOfIp;
--- a/src/platform/internal/interfaces.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "platform/internal/interfaces.h"
--- a/src/routing/internal/quality.cpp
+++ b/src/routing/internal/quality.cpp
@@ -230,7 +230,7 @@
 }
 
 // Ratings of all daemons' answers count, for their choices are alike.
-void noteSurprise(QualityBook &book, const platform::Rating &rating, double score)
+void noteSurprise(QualityBook &book, const externals::Rating &rating, double score)
 {
     const auto workspace = book.workspaces.find(rating.workspace);
     if (workspace == book.workspaces.end())
@@ -240,7 +240,7 @@
         addRating(workspace->second.surprise, score - kind->second.expected);
 }
 
-void noteRating(QualityBook &book, const table::VersionRow &version, const platform::Rating &rating)
+void noteRating(QualityBook &book, const table::VersionRow &version, const externals::Rating &rating)
 {
     const double score = std::clamp(rating.score, 0.0, 1.0);
     VersionQuality *cell = makeCell(book, rating.workspace, rating.kind, version);
@@ -315,11 +315,11 @@
 } // namespace
 
 void noteRatings(QualityBook &book, const table::Snapshot &snapshot,
-                 std::span<const platform::Rating> ratings, kernel::Instant now)
+                 std::span<const externals::Rating> ratings, kernel::Instant now)
 {
     book.heardAt = now;
     bool changed = false;
-    for (const platform::Rating &rating : ratings) {
+    for (const externals::Rating &rating : ratings) {
         if (rating.sequence <= book.lastSequence)
             continue;
         book.lastSequence = rating.sequence;
--- a/src/routing/internal/quality.h
+++ b/src/routing/internal/quality.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "routing/internal/facts.h"
 #include "table/table.h"
 
@@ -145,7 +145,7 @@
 
 /// Takes in an answer of the rating service, which may be empty.
 void noteRatings(QualityBook &book, const table::Snapshot &snapshot,
-                 std::span<const platform::Rating> ratings, kernel::Instant now);
+                 std::span<const externals::Rating> ratings, kernel::Instant now);
 
 /// One answer of this daemon.
 struct AnswerFacts
--- a/src/routing/tests/quality_tests.cpp
+++ b/src/routing/tests/quality_tests.cpp
@@ -36,7 +36,7 @@
           { .id = "dear", .model = "b", .priorQuality = 0.9, .price = 4'000'000 } });
 }
 
-platform::Rating ratingOf(const kernel::VersionId &version, double score, std::int64_t sequence)
+externals::Rating ratingOf(const kernel::VersionId &version, double score, std::int64_t sequence)
 {
     return { .request = kernel::RequestId("other-" + std::to_string(sequence)),
              .workspace = workspace,
@@ -50,7 +50,7 @@
 QualityBook ratedBook(const table::Snapshot &snapshot, double cheapScore, double dearScore)
 {
     QualityBook book;
-    std::vector<platform::Rating> ratings;
+    std::vector<externals::Rating> ratings;
     constexpr int count = 400;
     ratings.reserve(count);
     for (int i = 0; i < count; ++i)
@@ -93,7 +93,7 @@
     const auto snapshot = twoModels();
     auto book = ratedBook(snapshot, 0.85, 0.9);
     const auto before = estimateQuality(book, snapshot.versions.at(cheap), workspace, kind);
-    const std::vector<platform::Rating> old{ ratingOf(cheap, 0, 1), ratingOf(cheap, 0, 400) };
+    const std::vector<externals::Rating> old{ ratingOf(cheap, 0, 1), ratingOf(cheap, 0, 400) };
     noteRatings(book, snapshot, old, {});
     const auto after = estimateQuality(book, snapshot.versions.at(cheap), workspace, kind);
     EXPECT_EQ(before.mean, after.mean);
@@ -192,7 +192,7 @@
 {
     const auto snapshot = twoModels();
     QualityBook book;
-    std::vector<platform::Rating> ratings;
+    std::vector<externals::Rating> ratings;
     const int count = *rc::gen::inRange(0, 200);
     ratings.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
--- a/src/table/internal/edits.cpp
+++ b/src/table/internal/edits.cpp
@@ -120,7 +120,7 @@
 class Edit : public std::enable_shared_from_this<Edit>
 {
 public:
-    Edit(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+    Edit(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
          const EditOptions &options, EditRequest request, CurrentRow current,
          kernel::Callback<EditOutcome> callback)
         : m_store(store)
@@ -179,7 +179,7 @@
                      [self = shared_from_this()](const auto &result) { self->onRead(result); });
     }
 
-    void onRead(const kernel::Completion<platform::StoredObject> &result)
+    void onRead(const kernel::Completion<externals::StoredObject> &result)
     {
         if (!m_mayTakeEffect && !result.ok() && result.error().code == ResultCode::ObjectNotFound) {
             giveUp();
@@ -190,7 +190,7 @@
             readAgain();
             return;
         }
-        const platform::StoredObject &object = result.value();
+        const externals::StoredObject &object = result.value();
         const auto parsed = parseRowValue(object.value);
         const RowValue value = parsed.ok() ? parsed.value() : RowValue{};
         if (holdsEdit(value, m_request.edit)) {
@@ -241,7 +241,7 @@
         m_callback(EditOutcome{ revision, m_row, byReading });
     }
 
-    const platform::ObjectStore &m_store;
+    const externals::ObjectStore &m_store;
     const kernel::Scheduler &m_scheduler;
     EditOptions m_options;
     EditRequest m_request;
@@ -252,11 +252,11 @@
     bool m_mayTakeEffect = false;
 };
 
-StoredTable toTable(const platform::ObjectList &list)
+StoredTable toTable(const externals::ObjectList &list)
 {
     StoredTable table;
     table.revision = list.revision;
-    for (const platform::StoredObject &object : list.objects) {
+    for (const externals::StoredObject &object : list.objects) {
         const auto key = parseRowKey(std::string_view(object.key).substr(objectPrefix.size()));
         if (!key)
             continue;
@@ -290,10 +290,10 @@
     return rows;
 }
 
-void readTable(const platform::ObjectStore &store, const kernel::Callback<StoredTable> &callback)
+void readTable(const externals::ObjectStore &store, const kernel::Callback<StoredTable> &callback)
 {
     store.list(std::string(objectPrefix),
-               [callback](const kernel::Completion<platform::ObjectList> &list) {
+               [callback](const kernel::Completion<externals::ObjectList> &list) {
                    if (list.ok())
                        callback(toTable(list.value()));
                    else
@@ -301,7 +301,7 @@
                });
 }
 
-void applyEdit(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+void applyEdit(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
                const EditOptions &options, EditRequest request,
                kernel::Callback<EditOutcome> callback)
 {
@@ -314,7 +314,7 @@
     });
 }
 
-void applyEdit(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+void applyEdit(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
                const EditOptions &options, const StoredTable &table, EditRequest request,
                kernel::Callback<EditOutcome> callback)
 {
--- a/src/table/internal/edits.h
+++ b/src/table/internal/edits.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/internal/references.h"
 #include "table/internal/rowcodec.h"
 #include "table/internal/storedrow.h"
@@ -70,7 +70,7 @@
 };
 
 /// Reads the whole table. Errors: those of ObjectStore::list.
-void readTable(const platform::ObjectStore &store, const kernel::Callback<StoredTable> &callback);
+void readTable(const externals::ObjectStore &store, const kernel::Callback<StoredTable> &callback);
 
 struct EditOptions
 {
@@ -87,12 +87,12 @@
 /// EditConflict (not written; the message says who changed the row and when),
 /// WriteOutcomeUnknown (it may still take effect), and those of ObjectStore.
 /// The store and the scheduler must outlive the edit.
-void applyEdit(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+void applyEdit(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
                const EditOptions &options, EditRequest request,
                kernel::Callback<EditOutcome> callback);
 
 /// Makes one edit against a table that was read before.
-void applyEdit(const platform::ObjectStore &store, const kernel::Scheduler &scheduler,
+void applyEdit(const externals::ObjectStore &store, const kernel::Scheduler &scheduler,
                const EditOptions &options, const StoredTable &table, EditRequest request,
                kernel::Callback<EditOutcome> callback);
 
--- a/src/table/internal/tablewatcher.cpp
+++ b/src/table/internal/tablewatcher.cpp
@@ -32,7 +32,7 @@
     };
 }
 
-StoredRow toStoredRow(const platform::StoredObject &object)
+StoredRow toStoredRow(const externals::StoredObject &object)
 {
     return { object.key.substr(std::min(objectPrefix.size(), object.key.size())), object.value,
              object.revision, object.deleted };
@@ -45,7 +45,7 @@
 
 } // namespace
 
-TableWatcher::TableWatcher(platform::ObjectStore store, const kernel::Scheduler &scheduler,
+TableWatcher::TableWatcher(externals::ObjectStore store, const kernel::Scheduler &scheduler,
                            TableStore &table, const WatcherOptions &options)
     : m_store(std::move(store))
     , m_scheduler(&scheduler)
@@ -86,7 +86,7 @@
                  whileAlive(m_session, [this](const auto &list) { onList(list); }));
 }
 
-void TableWatcher::onList(const kernel::Completion<platform::ObjectList> &list)
+void TableWatcher::onList(const kernel::Completion<externals::ObjectList> &list)
 {
     if (!list.ok()) {
         onStoreError(list.error(), [this] { readList(); });
@@ -96,7 +96,7 @@
     std::vector<StoredRow> rows;
     // A list may be older than it claims, so the watch begins at the newest row that it shows.
     m_position = {};
-    for (const platform::StoredObject &object : list.value().objects) {
+    for (const externals::StoredObject &object : list.value().objects) {
         rows.push_back(toStoredRow(object));
         m_position = std::max(m_position, object.revision);
     }
@@ -108,10 +108,10 @@
 }
 
 // A list may be older than it claims, so a row that is missing from it is read once more.
-void TableWatcher::confirmMissing(const platform::ObjectList &list)
+void TableWatcher::confirmMissing(const externals::ObjectList &list)
 {
     std::set<std::string> listed;
-    for (const platform::StoredObject &object : list.objects)
+    for (const externals::StoredObject &object : list.objects)
         listed.insert(object.key);
     m_missing.clear();
     for (const RowRevisions &row : m_table->liveRows()) {
@@ -135,7 +135,7 @@
 }
 
 void TableWatcher::onConfirmed(const std::string &key,
-                               const kernel::Completion<platform::StoredObject> &read)
+                               const kernel::Completion<externals::StoredObject> &read)
 {
     if (read.ok())
         m_table->apply(toStoredRow(read.value()), sourceRead);
@@ -146,7 +146,7 @@
 
 void TableWatcher::watch()
 {
-    platform::WatchHandlers handlers;
+    externals::WatchHandlers handlers;
     handlers.onChange = whileAlive(m_session, [this](const auto &object) { onChange(object); });
     handlers.onEnd = whileAlive(m_session, [this](const auto &error) { onWatchEnd(error); });
     m_watch = m_store.watch(std::string(objectPrefix), m_position, std::move(handlers));
@@ -163,7 +163,7 @@
     });
 }
 
-void TableWatcher::onChange(const platform::StoredObject &object)
+void TableWatcher::onChange(const externals::StoredObject &object)
 {
     m_failures = 0;
     m_position = std::max(m_position, object.revision);
--- a/src/table/internal/tablewatcher.h
+++ b/src/table/internal/tablewatcher.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/internal/tablestore.h"
 
 namespace acaciasail::table {
@@ -29,7 +29,7 @@
 class TableWatcher
 {
 public:
-    TableWatcher(platform::ObjectStore store, const kernel::Scheduler &scheduler, TableStore &table,
+    TableWatcher(externals::ObjectStore store, const kernel::Scheduler &scheduler, TableStore &table,
                  const WatcherOptions &options);
     TableWatcher(const TableWatcher &) = delete;
     TableWatcher &operator=(const TableWatcher &) = delete;
@@ -45,21 +45,21 @@
 
 private:
     void readList();
-    void onList(const kernel::Completion<platform::ObjectList> &list);
-    void confirmMissing(const platform::ObjectList &list);
+    void onList(const kernel::Completion<externals::ObjectList> &list);
+    void confirmMissing(const externals::ObjectList &list);
     void confirmNext();
     void onConfirmed(const std::string &key,
-                     const kernel::Completion<platform::StoredObject> &read);
+                     const kernel::Completion<externals::StoredObject> &read);
     void probe();
     void watch();
     void keepFresh();
-    void onChange(const platform::StoredObject &object);
+    void onChange(const externals::StoredObject &object);
     void onWatchEnd(const kernel::Error &error);
     void retryLater(std::function<void()> attempt);
     void onStoreError(const kernel::Error &error, std::function<void()> attempt);
     void setStoreUp(bool up, const std::string &reason);
 
-    platform::ObjectStore m_store;
+    externals::ObjectStore m_store;
     const kernel::Scheduler *m_scheduler;
     TableStore *m_table;
     WatcherOptions m_options;
@@ -74,7 +74,7 @@
     /// Keys that are missing from the last list and not confirmed yet.
     std::deque<std::string> m_missing;
     int m_failures = 0;
-    platform::WatchHandle m_watch;
+    externals::WatchHandle m_watch;
     kernel::Timer m_retry;
     kernel::Timer m_freshness;
     /// Goes with stop(), and so ends the callbacks that still wait.
--- a/src/table/tests/edits_tests.cpp
+++ b/src/table/tests/edits_tests.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 #include "table/table.h"
 
 using namespace acaciasail;
@@ -43,8 +43,8 @@
     }
 
     kernel::ManualScheduler clock;
-    platform::testing::FakeObjectStore fake{ clock.scheduler() };
-    platform::ObjectStore store = fake.objectStore();
+    externals::testing::FakeObjectStore fake{ clock.scheduler() };
+    externals::ObjectStore store = fake.objectStore();
 };
 
 } // namespace
--- a/src/table/tests/tablewatcher_tests.cpp
+++ b/src/table/tests/tablewatcher_tests.cpp
@@ -1,7 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include "platform/testing/fakeplatform.h"
+#include "externals/testing/fakeplatform.h"
 #include "table/table.h"
 
 using namespace acaciasail;
@@ -45,7 +45,7 @@
     }
 
     kernel::ManualScheduler clock;
-    platform::testing::FakeObjectStore fake{ clock.scheduler() };
+    externals::testing::FakeObjectStore fake{ clock.scheduler() };
     TableStore table{ clock.scheduler() };
     TableWatcher watcher{ fake.objectStore(), clock.scheduler(), table, {} };
 };
--- a/standins/faults.cpp
+++ b/standins/faults.cpp
@@ -87,7 +87,7 @@
         return true;
     }
     if (kind == "rating") {
-        platform::Rating rating;
+        externals::Rating rating;
         rating.request = kernel::RequestId(parameters.text("request"));
         rating.workspace = kernel::WorkspaceId(parameters.text("workspace"));
         rating.kind = kernel::KindId(parameters.text("kind_of_request"));
@@ -102,17 +102,17 @@
 bool setVmFault(PlatformServices &services, const std::string &kind, const Parameters &parameters)
 {
     const kernel::VmId id(parameters.text("id"));
-    std::vector<platform::VmEntry> vms = services.vms();
+    std::vector<externals::VmEntry> vms = services.vms();
     if (kind == "remove") {
         std::erase_if(vms, [&](const auto &vm) { return vm.id == id; });
     } else if (kind == "leaving") {
-        for (platform::VmEntry &vm : vms)
+        for (externals::VmEntry &vm : vms)
             vm.leaving = vm.id == id ? parameters.flag("on", true) : vm.leaving;
     } else if (kind == "add") {
-        platform::VmEntry vm;
+        externals::VmEntry vm;
         vm.id = id;
-        vm.role = parameters.text("role") == "upstream" ? platform::VmRole::Upstream
-                                                        : platform::VmRole::Entry;
+        vm.role = parameters.text("role") == "upstream" ? externals::VmRole::Upstream
+                                                        : externals::VmRole::Entry;
         vm.dataCentre = kernel::DataCentreId(parameters.text("data_centre"));
         vm.endpoint.ip = parameters.text("ip");
         vm.endpoint.port = static_cast<unsigned short>(parameters.integer("port", 0));
--- a/standins/objectapi.cpp
+++ b/standins/objectapi.cpp
@@ -20,7 +20,7 @@
     return std::strtoll(text.c_str(), nullptr, 10);
 }
 
-Json toJson(const platform::StoredObject &object)
+Json toJson(const externals::StoredObject &object)
 {
     Json json = { { "key", object.key }, { "revision", object.revision.count() } };
     if (object.deleted)
@@ -117,10 +117,10 @@
     const std::string prefix = http::queryParameter(request.query, "prefix").value_or("");
     const bool stale = m_faults.staleLists > 0;
     m_faults.staleLists -= stale ? 1 : 0;
-    const platform::ObjectList list
+    const externals::ObjectList list
         = stale ? m_objects.listAt(prefix, m_faults.staleRevision) : m_objects.list(prefix);
     Json json = { { "objects", Json::array() }, { "revision", list.revision.count() } };
-    for (const platform::StoredObject &object : list.objects)
+    for (const externals::StoredObject &object : list.objects)
         json["objects"].push_back(toJson(object));
     sendJson(responder, 200, dump(json));
 }
@@ -187,7 +187,7 @@
         watch.responder->finish();
         return;
     }
-    for (const platform::StoredObject &change : changes.value()) {
+    for (const externals::StoredObject &change : changes.value()) {
         watch.delivered = change.revision;
         watch.responder->write(dump(toJson(change)) + "\n");
     }
--- a/standins/objectapi.h
+++ b/standins/objectapi.h
@@ -5,7 +5,7 @@
 #include <vector>
 
 #include "http/http.h"
-#include "platform/testing/memorystore.h"
+#include "externals/testing/memorystore.h"
 #include "record.h"
 #include "replies.h"
 
@@ -39,7 +39,7 @@
     void handle(const http::ServerRequest &request, const ResponderPtr &responder);
 
     ObjectFaults &faults() { return m_faults; }
-    platform::testing::MemoryStore &objects() { return m_objects; }
+    externals::testing::MemoryStore &objects() { return m_objects; }
     /// Ends all watches.
     void breakWatches();
 
@@ -65,7 +65,7 @@
     Record *m_record;
     kernel::Duration m_heartbeat;
     ObjectFaults m_faults;
-    platform::testing::MemoryStore m_objects;
+    externals::testing::MemoryStore m_objects;
     std::list<Watch> m_watches;
     std::vector<ResponderPtr> m_unanswered;
     kernel::Timer m_heartbeatTimer;
--- a/standins/platformservices.cpp
+++ b/standins/platformservices.cpp
@@ -16,17 +16,17 @@
 // Ratings lie this far around the version's quality.
 constexpr double ratingSpread = 0.1;
 
-Json toJson(const platform::VmEntry &vm)
+Json toJson(const externals::VmEntry &vm)
 {
     return { { "id", vm.id.str() },
-             { "role", vm.role == platform::VmRole::Entry ? "entry" : "upstream" },
+             { "role", vm.role == externals::VmRole::Entry ? "entry" : "upstream" },
              { "data_centre", vm.dataCentre.str() },
              { "ip", vm.endpoint.ip },
              { "port", vm.endpoint.port },
              { "leaving", vm.leaving } };
 }
 
-Json toJson(const platform::Rating &rating)
+Json toJson(const externals::Rating &rating)
 {
     return { { "sequence", rating.sequence },         { "request", rating.request.str() },
              { "workspace", rating.workspace.str() }, { "kind", rating.kind.str() },
@@ -64,7 +64,7 @@
         sendError(responder, 404, "not_found");
 }
 
-void PlatformServices::setVms(std::vector<platform::VmEntry> vms)
+void PlatformServices::setVms(std::vector<externals::VmEntry> vms)
 {
     m_vms = std::move(vms);
     m_scheduler->startTimer(m_settings->vmListLag, [this, shown = m_vms] { m_shownVms = shown; });
@@ -74,7 +74,7 @@
 {
     if (kernel::uniform01(m_random) >= m_settings->ratedShare)
         return;
-    platform::Rating rating;
+    externals::Rating rating;
     rating.request = kernel::RequestId(run.request);
     rating.workspace
         = kernel::WorkspaceId(std::string(http::findHeader(headers, "x-workspace").value_or("")));
@@ -87,7 +87,7 @@
                             [this, rating = std::move(rating)] { addRating(rating); });
 }
 
-void PlatformServices::addRating(platform::Rating rating)
+void PlatformServices::addRating(externals::Rating rating)
 {
     rating.sequence = ++m_ratingSequence;
     m_ratings.push_back(std::move(rating));
@@ -98,7 +98,7 @@
 void PlatformServices::sendVms(const ResponderPtr &responder) const
 {
     Json list = Json::array();
-    for (const platform::VmEntry &vm : m_shownVms)
+    for (const externals::VmEntry &vm : m_shownVms)
         list.push_back(toJson(vm));
     sendJson(responder, 200, dump(list));
 }
@@ -109,7 +109,7 @@
     const std::string text = http::queryParameter(request.query, "after").value_or("0");
     const std::int64_t after = std::strtoll(text.c_str(), nullptr, 10);
     Json list = Json::array();
-    const auto first = std::ranges::upper_bound(m_ratings, after, {}, &platform::Rating::sequence);
+    const auto first = std::ranges::upper_bound(m_ratings, after, {}, &externals::Rating::sequence);
     for (auto it = first; it != m_ratings.end() && list.size() < ratingsInAnAnswer; ++it)
         list.push_back(toJson(*it));
     sendJson(responder, 200, dump(list));
--- a/standins/platformservices.h
+++ b/standins/platformservices.h
@@ -20,11 +20,11 @@
     void handle(const http::ServerRequest &request, const ResponderPtr &responder);
 
     /// Changes the VMs; the list shows it after its lag.
-    void setVms(std::vector<platform::VmEntry> vms);
-    const std::vector<platform::VmEntry> &vms() const { return m_vms; }
+    void setVms(std::vector<externals::VmEntry> vms);
+    const std::vector<externals::VmEntry> &vms() const { return m_vms; }
     /// Rates a finished answer later, or not at all.
     void rate(const RunRecord &run, const http::Headers &headers, double quality);
-    void addRating(platform::Rating rating);
+    void addRating(externals::Rating rating);
     /// All three services answer 503.
     bool &down() { return m_down; }
     kernel::Duration &loadInterval() { return m_loadInterval; }
@@ -37,10 +37,10 @@
     const kernel::Scheduler *m_scheduler;
     const StandinSettings *m_settings;
     kernel::Random m_random;
-    std::vector<platform::VmEntry> m_vms;
+    std::vector<externals::VmEntry> m_vms;
     /// The list as it is shown.
-    std::vector<platform::VmEntry> m_shownVms;
-    std::deque<platform::Rating> m_ratings;
+    std::vector<externals::VmEntry> m_shownVms;
+    std::deque<externals::Rating> m_ratings;
     std::int64_t m_ratingSequence = 0;
     kernel::Duration m_loadInterval;
     kernel::Instant m_nextLoad{};
--- a/standins/standinsettings.cpp
+++ b/standins/standinsettings.cpp
@@ -106,12 +106,12 @@
     return runner;
 }
 
-platform::VmEntry readVm(Section section)
+externals::VmEntry readVm(Section section)
 {
-    platform::VmEntry vm;
+    externals::VmEntry vm;
     vm.id = kernel::VmId(section.requiredText("id"));
-    vm.role = section.text("role", "entry") == "upstream" ? platform::VmRole::Upstream
-                                                          : platform::VmRole::Entry;
+    vm.role = section.text("role", "entry") == "upstream" ? externals::VmRole::Upstream
+                                                          : externals::VmRole::Entry;
     vm.dataCentre = kernel::DataCentreId(section.text("data_centre"));
     vm.endpoint = section.endpoint("address");
     return vm;
--- a/standins/standinsettings.h
+++ b/standins/standinsettings.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "kernel/kernel.h"
-#include "platform/platform.h"
+#include "externals/externals.h"
 
 namespace acaciasail::standins {
 
@@ -71,7 +71,7 @@
     std::string poison = "POISON";
     /// Time for which a crashed runner refuses connections.
     kernel::Duration crashTime = std::chrono::milliseconds(500);
-    std::vector<platform::VmEntry> vms;
+    std::vector<externals::VmEntry> vms;
     std::vector<VersionSettings> versions;
     std::vector<ModelRunnerSettings> models;
     std::vector<ApplicationRunnerSettings> applications;
--- a/standins/tests/standins_tests.cpp
+++ b/standins/tests/standins_tests.cpp
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
-#include "platform/platform.h"
+#include "externals/externals.h"
 #include "table/table.h"
 #include "world.h"
 
@@ -156,8 +156,8 @@
 TEST(Standins, EditsReachATableThroughLostRepliesAndAnOutage)
 {
     Harness h;
-    const platform::Platform platform
-        = platform::makePlatform(h.client, h.loop.scheduler(),
+    const externals::Platform platform
+        = externals::makePlatform(h.client, h.loop.scheduler(),
                                  { .endpoint = h.world.platformEndpoint(),
                                    .watchHeartbeat = std::chrono::milliseconds(50) });
     table::TableStore store(h.loop.scheduler());
--- a/tools/install.sh
+++ b/tools/install.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    libh2o-evloop-dev libnghttp2-dev libpopt-dev liblog4cxx-dev libboost1.81-dev
+    libh2o-evloop-dev libhttp-parser-dev libnghttp2-dev libpopt-dev liblog4cxx-dev libboost1.81-dev
     librapidcheck-dev libtomlplusplus-dev nlohmann-json3-dev libprotobuf-dev protobuf-compiler
     libxxhash-dev libssl-dev libgtest-dev libbenchmark-dev
     g++ cmake ninja-build ccache clang-format clang-tidy wrk nghttp2-client curl git
