--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -36,11 +36,12 @@
     options.retries.slack = readNumber(reader, "retries.slack", options.retries.slack, maxSlack);
     options.retries.window = readSeconds(reader, "retries.window_s",
                                          kernel::toSeconds(options.retries.window));
-    options.sessions.gap
-        = readSeconds(reader, "sessions.gap_s", kernel::toSeconds(options.sessions.gap));
     constexpr int mostConfident = 101;
     options.models.escalateBelow = static_cast<int>(
         reader.integer("models.escalate_below", options.models.escalateBelow, { 0, mostConfident }));
+    options.models.escalateBelowForAnswer = static_cast<int>(
+        reader.integer("models.escalate_below_for_answer", options.models.escalateBelowForAnswer,
+                       { 0, mostConfident }));
 }
 
 } // namespace
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -109,10 +109,9 @@
     }
     if (m_request.work) {
         const std::vector<PromptPart> &parts = m_request.work->parts;
+        // The last part is mostly the request's own; the one before it is what its session shares.
         if (!parts.empty())
-            m_session = parts.back().id;
-        if (!parts.empty())
-            m_affinity = parts[parts.size() > 2 ? parts.size() - 2 : parts.size() - 1].id;
+            m_session = parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
         m_model = firstModel(m_route, *m_request.work);
     }
     const double point = m_session.empty()
@@ -153,7 +152,7 @@
         return VersionChoice::Old;
     // Requests without a session are divided by their id.
     const std::string &session = m_session.empty() ? m_request.id.str() : m_session;
-    return chooseVersion(rollout->second, m_state.sessions, session, m_state.options.sessions, now());
+    return chooseVersion(rollout->second, session);
 }
 
 void Job::tryNext(bool budgetTaken)
@@ -170,7 +169,7 @@
     }
     const VersionChoice version = versionForSession();
     UpstreamQuery query;
-    query.affinity = m_affinity;
+    query.affinity = m_session;
     query.work = m_request.work ? expectedWork(*m_request.work) : 1;
     query.ownDataCentre = m_state.options.dataCentre;
     query.exclude = &m_tried;
@@ -226,6 +225,7 @@
                        { "reason", toString(choice.reason) },
                        { "in_flight", m_state.records[upstream.id].inFlight },
                        { "send", m_attempts.sent + 1 },
+                       { "session", m_session },
                        { "left_ms", kernel::toMilliseconds(timeLeft()) } });
     m_attempt = std::move(attempt);
     m_tried.insert(upstream.id);
@@ -308,7 +308,8 @@
         return false;
     const kernel::Instant objectiveEnd = m_request.arrived + m_route.latencyObjective;
     const std::string larger
-        = escalateTo(m_route, m_state.options.models, m_model, m_attempt->head->confidence,
+        = escalateTo(m_route, m_state.options.models, *m_request.work, m_model,
+                     m_attempt->head->confidence,
                      m_attempts.maxAttempts - m_attempts.sent,
                      objectiveEnd - m_state.scheduler.now());
     if (larger.empty()
@@ -463,10 +464,7 @@
 void Job::noteEvidence(bool failed)
 {
     const kernel::Instant at = m_state.scheduler.now();
-    const auto rollout = m_state.directory.rollouts.find(m_service);
     const auto evidence = m_state.evidence.find(m_service);
-    if (!m_session.empty() && rollout != m_state.directory.rollouts.end())
-        noteSession(m_state.sessions, m_session, m_attempt->onTarget, at);
     if (evidence == m_state.evidence.end())
         return;
     noteAnswer(evidence->second, m_route.name, m_attempt->upstream, m_attempt->onTarget, failed,
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -84,7 +84,6 @@
     int m_rank = 0;
     kernel::ServiceName m_service;
     std::string m_session;
-    std::string m_affinity;
     RequestFingerprint m_fingerprint = 0;
     kernel::Instant m_now{};
     kernel::Instant m_end{};
--- a/src/forwarding/internal/modelchoice.cpp
+++ b/src/forwarding/internal/modelchoice.cpp
@@ -9,6 +9,22 @@
 // Callers ask for more output than they get.
 constexpr double usedPartOfMaxOutput = 0.5;
 
+// A token read costs this part of a token generated.
+constexpr double readCost = 0.25;
+
+double expectedOutput(const ModelWork &work)
+{
+    return usedPartOfMaxOutput * static_cast<double>(work.maxOutputTokens);
+}
+
+// Part of a request's cost that is in its answer rather than in its prompt.
+double answerPart(const ModelWork &work)
+{
+    const double read = readCost * static_cast<double>(work.promptTokens);
+    const double total = read + expectedOutput(work);
+    return total > 0 ? expectedOutput(work) / total : 0;
+}
+
 } // namespace
 
 std::string firstModel(const Route &route, const ModelWork &work)
@@ -16,12 +32,14 @@
     return route.models.empty() ? work.model : route.models.front();
 }
 
-std::string escalateTo(const Route &route, const ModelRules &rules, const std::string &asked,
-                       std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft)
+std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
+                       const std::string &asked, std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft)
 {
     if (route.models.empty() || asked == route.models.back() || sentLeft <= 0 || !confidence)
         return {};
-    if (*confidence >= rules.escalateBelow)
+    const double threshold
+        = rules.escalateBelow + rules.escalateBelowForAnswer * answerPart(work);
+    if (*confidence >= threshold)
         return {};
     if (kernel::toSeconds(objectiveLeft)
         < rules.minObjectiveLeft * kernel::toSeconds(route.latencyObjective))
@@ -32,7 +50,7 @@
 double expectedWork(const ModelWork &work)
 {
     return static_cast<double>(work.promptTokens)
-        + readPerGenerated * usedPartOfMaxOutput * static_cast<double>(work.maxOutputTokens);
+        + readPerGenerated * expectedOutput(work);
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/modelchoice.h
+++ b/src/forwarding/internal/modelchoice.h
@@ -10,8 +10,12 @@
 /// How a route's models are used.
 struct ModelRules
 {
-    /// Confidence (0 to 100) below which an answer is dropped and the largest model asked.
+    /// Confidence (0 to 100) below which an answer is dropped and the largest model asked, for a
+    /// request whose cost is all in reading its prompt.
     int escalateBelow = 50;
+    /// Added to that for a request whose cost is all in its answer: the larger model's answer costs
+    /// less then, for the same worth.
+    int escalateBelowForAnswer = 35;
     /// Shortest time that must be left, as a part of the route's objective, to ask again.
     double minObjectiveLeft = 0.2;
 };
@@ -21,8 +25,8 @@
 
 /// The model to ask in place of an answer that nobody has seen yet; empty where the answer stands.
 /// `sentLeft` is the number of sends that the request may still have.
-std::string escalateTo(const Route &route, const ModelRules &rules, const std::string &asked,
-                       std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft);
+std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
+                       const std::string &asked, std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft);
 
 /// Expected work of a request at an engine, in tokens read: a token generated counts as many.
 double expectedWork(const ModelWork &work);
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -16,20 +16,19 @@
     int sharePermille;
 };
 
-// Little is risked until half of the time is over; then the share grows in steps, each long enough
-// to see what it does under its load.
-constexpr std::array<Stage, 4> stages{ {
-    { 0.0, 80 },
-    { 0.52, 250 },
-    { 0.60, 500 },
-    { 0.68, 1000 },
+// Sessions keep their version in the first half. Then the share grows in steps, each long enough to
+// see what the version does under its load.
+constexpr std::array<Stage, 5> stages{ {
+    { 0.0, 0 },
+    { 0.51, 100 },
+    { 0.58, 250 },
+    { 0.64, 500 },
+    { 0.70, 1000 },
 } };
 // Part of the wanted time at which the old upstreams may be stopped; streams on them have ended.
 constexpr double completePart = 0.88;
 // Shortest time at the full share before the old upstreams may be stopped.
-constexpr kernel::Duration minFullTime = std::chrono::seconds(4);
-// The share that marks the second half of a roll-out.
-constexpr int secondHalfShare = 250;
+constexpr kernel::Duration minFullTime = std::chrono::seconds(3);
 
 // Bad answers before the target is judged at all.
 constexpr int minBad = 4;
@@ -70,13 +69,10 @@
 
 } // namespace
 
-VersionChoice chooseVersion(const Rollout &rollout, const SessionVersions &sessions,
-                            std::string_view session, const SessionRules &rules,
-                            kernel::Instant now)
+VersionChoice chooseVersion(const Rollout &rollout, std::string_view session)
 {
     switch (rollout.state) {
     case RolloutState::Ordered:
-        return VersionChoice::Old;
     case RolloutState::RolledBack:
         return VersionChoice::Old;
     case RolloutState::Completed:
@@ -84,37 +80,10 @@
     case RolloutState::Running:
         break;
     }
-    if (rollout.sharePermille >= permille)
-        return VersionChoice::New;
-    const auto known = sessions.sessions.find(session);
-    const bool recent = known != sessions.sessions.end() && now - known->second.lastUsed < rules.gap;
-    if (recent && known->second.onTarget)
-        return VersionChoice::New;
-    if (recent && rollout.sharePermille < secondHalfShare)
-        return VersionChoice::Old;
     const auto point = static_cast<int>(kernel::hash64(session) % permille);
     return point < rollout.sharePermille ? VersionChoice::New : VersionChoice::Old;
 }
 
-void noteSession(SessionVersions &sessions, std::string_view session, bool onTarget,
-                 kernel::Instant now)
-{
-    if (session.empty())
-        return;
-    sessions.sessions[std::string(session)] = { onTarget, now };
-    if (sessions.sessions.size() <= sessions.capacity)
-        return;
-    // Half of the capacity is freed at once, so that the search is rare.
-    std::vector<kernel::Instant> times;
-    times.reserve(sessions.sessions.size());
-    for (const auto &[id, entry] : sessions.sessions)
-        times.push_back(entry.lastUsed);
-    const auto middle = times.begin() + static_cast<std::ptrdiff_t>(times.size() / 2);
-    std::ranges::nth_element(times, middle);
-    std::erase_if(sessions.sessions,
-                  [oldest = *middle](const auto &item) { return item.second.lastUsed < oldest; });
-}
-
 void noteAnswer(RolloutEvidence &evidence, const RouteName &route, const kernel::UpstreamId &upstream,
                 bool onTarget, bool failed, std::optional<kernel::Duration> took)
 {
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -19,32 +18,9 @@
     New,
 };
 
-/// The versions on which sessions ran last; bounded, by the time of their last request.
-struct SessionVersions
-{
-    struct Entry
-    {
-        bool onTarget = false;
-        kernel::Instant lastUsed{};
-    };
-    std::map<std::string, Entry, std::less<>> sessions;
-    std::size_t capacity = 4096;
-};
-
-/// Time within which a session's requests follow each other, else it is a new one.
-struct SessionRules
-{
-    kernel::Duration gap = std::chrono::seconds(5);
-};
-
-/// The version for a request. Sessions move to the target once and never back; a session that ran
-/// lately on the old version moves only in the roll-out's second half.
-VersionChoice chooseVersion(const Rollout &rollout, const SessionVersions &sessions,
-                            std::string_view session, const SessionRules &rules,
-                            kernel::Instant now);
-
-void noteSession(SessionVersions &sessions, std::string_view session, bool onTarget,
-                 kernel::Instant now);
+/// The version for a request of a session. Which sessions move first depends on the session and the
+/// share alone, so all daemons agree, and a session moves once and never back.
+VersionChoice chooseVersion(const Rollout &rollout, std::string_view session);
 
 /// Answers of one side of a roll-out.
 struct VersionEvidence
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -29,7 +29,6 @@
     kernel::VmId vm;
     kernel::DataCentreId dataCentre;
     RetryBounds retries;
-    SessionRules sessions;
     ModelRules models;
     /// Longest wait for a connection to an upstream.
     kernel::Duration connectTimeout = std::chrono::milliseconds(1000);
@@ -62,7 +61,6 @@
     /// Share of failures of each service's answers, with decay.
     std::map<kernel::ServiceName, double> failureShares;
     std::map<kernel::ServiceName, RolloutEvidence> evidence;
-    SessionVersions sessions;
     CrashList crashes;
     ForwardingMetrics metrics;
 };
