--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -66,7 +66,11 @@
 void Job::start()
 {
     const auto self = shared_from_this();
-    m_responder->whenClosed([this] { onCallerGone(); });
+    // The responder may outlive the job while its last bytes are on their way.
+    m_responder->whenClosed([weak = weak_from_this()] {
+        if (const auto job = weak.lock())
+            job->onCallerGone();
+    });
     if (!accept())
         return;
     m_end = m_request.arrived + std::min(m_request.patience.value_or(m_route.timeout), m_route.timeout)
@@ -363,9 +367,10 @@
         m_lastEventId = event.id;
     if (m_responder->queuedBytes() > maxQueuedBytes && m_exchange) {
         m_exchange->pauseReading(true);
-        m_responder->whenDrained([this] {
-            if (m_exchange)
-                m_exchange->pauseReading(false);
+        m_responder->whenDrained([weak = weak_from_this()] {
+            const auto job = weak.lock();
+            if (job && job->m_exchange)
+                job->m_exchange->pauseReading(false);
         });
     }
 }
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -129,15 +129,13 @@
 {
     if (m_request == nullptr)
         return;
-    if (!m_started) {
-        // Over HTTP/1 the caller sees a broken connection instead of an answer's head.
-        constexpr int http2Version = 0x200;
-        if (m_request->version < http2Version) {
-            h2o_socket_t *socket = m_request->conn->callbacks->get_socket(m_request->conn);
-            shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
-        }
+    // Over HTTP/1 the caller sees the connection end: before an answer's head, or within its body.
+    // What the library would send for an error is no part of any answer.
+    constexpr int http2Version = 0x200;
+    if (m_request->version < http2Version)
+        shutdown(descriptor(), SHUT_RDWR);
+    if (!m_started)
         start(500, {});
-    }
     m_aborting = true;
     pump();
 }
--- a/src/framework/kernel/internal/result.h
+++ b/src/framework/kernel/internal/result.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <exception>
 #include <functional>
 #include <string>
 #include <type_traits>
@@ -93,6 +94,9 @@
                 return Completion<Value>(std::move(result.value()));
         },
         [](const Error &error) { return Completion<Value>(error); },
+        [](const std::exception &exception) {
+            return Completion<Value>(Error{ ResultCode::InternalError, exception.what() });
+        },
         [] {
             return Completion<Value>(
                 Error{ ResultCode::InternalError, "error without a description" });
