A stopping router refuses only what it can't finish, and says when it is back

Change: from the balancer's delay on, requests whose route's longest answer does not fit are refused with 503; new connections at that time tell that no other router takes requests, and Retry-After is then the time until this one is back.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -82,6 +82,7 @@
     std::unique_ptr<http::Server> m_metrics;
     std::optional<kernel::Instant> m_stoppingSince;
     bool m_endingConnections = false;
+    std::uint64_t m_acceptedAtDrain = 0;
     std::optional<bool> m_toldReady;
     kernel::Timer m_settingsTimer;
     kernel::Timer m_stopTimer;
@@ -228,13 +229,18 @@
 }
 
 // Until the balancer has noticed, new connections come and are served; after that connections end
-// with their answers, and idle ones are closed.
+// with their answers, idle ones are closed, and what can't be finished is sent to another daemon.
 void Router::checkStop()
 {
     const kernel::Duration since = m_loop.scheduler().now() - *m_stoppingSince;
     if (since >= m_settings.balancerDelay) {
-        if (!std::exchange(m_endingConnections, true))
+        if (!std::exchange(m_endingConnections, true)) {
             m_callers->endConnectionsAfterAnswers();
+            m_acceptedAtDrain = m_callers->connectionsAccepted();
+        }
+        // The balancer sends new connections here only if it has nobody else.
+        const bool alone = m_callers->connectionsAccepted() > m_acceptedAtDrain;
+        m_forwarder.endBy(*m_stoppingSince + m_settings.stopTimeout - stopMargin, alone);
         m_callers->closeIdleConnections();
         const bool idle = m_callers->connections() == 0 && m_forwarder.inProgress() == 0;
         if (idle || since >= m_settings.stopTimeout - stopMargin) {
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -63,7 +63,7 @@
     settings.metricsListen = reader.endpoint("metrics.listen", {});
     settings.store = reader.requiredEndpoint("store.address");
     settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
-    settings.balancerDelay = readSeconds(reader, "stop.balancer_delay_s", 2.5);
+    settings.balancerDelay = readSeconds(reader, "stop.balancer_delay_s", 2.8);
     result.mistakes = reader.finish();
     return result;
 }
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -132,6 +132,12 @@
     m_state.options = options;
 }
 
+void Forwarder::endBy(kernel::Instant end, bool alone)
+{
+    m_state.endsAt = end;
+    m_state.alone = alone;
+}
+
 void Forwarder::armTick()
 {
     m_tick = kernel::Timer(m_state.scheduler, tickInterval, [this] { tick(); });
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -43,6 +43,10 @@
 // together.
 constexpr double retryAfterMinSeconds = 0.2;
 constexpr double retryAfterSpreadSeconds = 0.6;
+// Another daemon takes what this one refuses while it stops.
+constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
+// From a process's end until it takes requests again.
+constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
 constexpr int mostUrgent = 0;
 constexpr int leastUrgent = 9;
 constexpr int urgencyPerRank = 2;
@@ -98,6 +102,11 @@
         return false;
     }
     m_route = *route;
+    if (!canFinish(m_state, m_route, now())) {
+        const kernel::Duration untilBack = *m_state.endsAt - now() + restartTime;
+        refuse(unavailable, "stopping", m_state.alone ? untilBack : stoppingRetryAfter);
+        return false;
+    }
     m_rank = route->rank;
     const bool keysInUse = !m_configuration->workspaces.empty();
     if (keysInUse && (route->needsKey || !m_request.key.empty())) {
@@ -583,6 +592,7 @@
     if (status >= httpOk && status < firstErrorStatus) {
         m_state.metrics.firstByte(kind).add(m_firstByteAt - m_request.arrived);
         m_state.metrics.whole(kind).add(at - m_request.arrived);
+        noteAnswerTime(m_state, m_route.name, at - m_request.arrived);
     }
     kernel::logEvent(
         kernel::EventId::RequestFinished,
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -1,7 +1,23 @@
 #include "forwarding/internal/state.h"
 
+#include <algorithm>
+
 namespace acaciasail::forwarding {
 
+namespace {
+
+constexpr double longestAnswerDecay = 0.999;
+// An answer may take this much longer than the longest one seen.
+constexpr double longestAnswerMargin = 1.25;
+constexpr kernel::Duration finishSlack = std::chrono::milliseconds(100);
+
+kernel::Duration scaled(kernel::Duration duration, double factor)
+{
+    return kernel::fromSeconds(kernel::toSeconds(duration) * factor);
+}
+
+} // namespace
+
 metrics::Counter &ForwardingMetrics::requests(const std::string &route, int status)
 {
     return registry.counter("acaciasail_requests_total", "Requests by route and status",
@@ -53,4 +69,21 @@
     return result;
 }
 
+void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took)
+{
+    kernel::Duration &longest = state.longestAnswers[route];
+    longest = std::max(scaled(longest, longestAnswerDecay), took);
+}
+
+bool canFinish(const ForwardingState &state, const Route &route, kernel::Instant now)
+{
+    if (!state.endsAt)
+        return true;
+    const auto known = state.longestAnswers.find(route.name);
+    const kernel::Duration longest = known == state.longestAnswers.end()
+        ? route.timeout
+        : scaled(known->second, longestAnswerMargin);
+    return now + longest + finishSlack < *state.endsAt;
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -54,6 +54,12 @@
     UpstreamWire wire;
     HttpSender send;
     kernel::Random random;
+    /// When the process ends at the latest, once it has begun to stop taking requests.
+    std::optional<kernel::Instant> endsAt;
+    /// No other daemon seems to take requests meanwhile.
+    bool alone = false;
+    /// Longest time of each route's recent answers, with decay.
+    std::map<RouteName, kernel::Duration> longestAnswers;
 
     Directory directory;
     UpstreamRecords records;
@@ -70,4 +76,10 @@
                                            const kernel::ServiceName &service,
                                            VersionChoice version);
 
+/// Takes in how long an answer took.
+void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took);
+
+/// Whether a request that comes now is sure to be answered before the process ends.
+bool canFinish(const ForwardingState &state, const Route &route, kernel::Instant now);
+
 } // namespace acaciasail::forwarding
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -108,6 +108,7 @@
     // Requests in progress, with the time of their arrival.
     std::unordered_map<H2oResponder *, kernel::Instant> inProgress;
     kernel::Timer hangUpTimer;
+    std::uint64_t accepted = 0;
 };
 
 void Server::Impl::configure()
@@ -161,6 +162,7 @@
             h2o_socket_close(socket);
             continue;
         }
+        ++accepted;
         setConnectionTimeouts(h2o_socket_get_fd(socket));
         auto *connection = new Connection{ this, socket };
         connections.insert(connection);
@@ -313,4 +315,9 @@
     return m_impl->connections.size();
 }
 
+std::uint64_t Server::connectionsAccepted() const
+{
+    return m_impl->accepted;
+}
+
 } // namespace acaciasail::http
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -86,6 +87,8 @@
     /// Requests whose answers are not finished.
     std::size_t requestsInProgress() const;
     std::size_t connections() const;
+    /// Connections taken since the start.
+    std::uint64_t connectionsAccepted() const;
 
 private:
     struct Impl;
