Tests of the forwarding library and of the HTTP client's faults; two faults that they found

A request that is known to crash its upstreams was logged but never answered; a connection whose answer came before its write was reported was not kept (bound: one connection for requests in sequence).

--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -143,7 +143,7 @@
     if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
         kernel::logEvent(kernel::EventId::PoisonRefused,
                          { { "request", m_request.id }, { "route", m_route.name } });
-        finish(finalStatus({ .mayHaveRun = true }, EndReason::Failed), "crashes_upstreams");
+        refuse(finalStatus({ .mayHaveRun = true }, EndReason::Failed), "crashes_upstreams", {});
         return false;
     }
     return true;
--- /dev/null
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -0,0 +1,250 @@
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+Route route(const std::string &host, const std::string &prefix)
+{
+    Route result;
+    result.name = RouteName(host + prefix);
+    result.host = host;
+    result.pathPrefix = prefix;
+    return result;
+}
+
+kernel::Instant at(std::int64_t milliseconds)
+{
+    return kernel::Instant(std::chrono::milliseconds(milliseconds));
+}
+
+} // namespace
+
+TEST(RouteMatch, TakesTheLongestPrefixOfTheHost)
+{
+    Configuration configuration;
+    configuration.routes = { route("a.example", "/x/"), route("a.example", "/x/y/"),
+                             route("b.example", "/x/y/z/") };
+    const auto name = [&](std::string_view host, std::string_view target) {
+        const Route *found = matchRoute(configuration, host, target);
+        return found == nullptr ? std::string() : found->name.str();
+    };
+    EXPECT_EQ(name("a.example", "/x/y/1"), "a.example/x/y/");
+    EXPECT_EQ(name("A.Example:8080", "/x/1?q=/x/y/"), "a.example/x/");
+    EXPECT_EQ(name("a.example", "/x/y/z/1"), "a.example/x/y/");
+    EXPECT_EQ(name("a.example", "/x"), "") << "a prefix ends with a slash";
+    EXPECT_EQ(name("c.example", "/x/1"), "");
+    EXPECT_EQ(name("a.example", "/q?/x/"), "") << "the query is no part of the path";
+}
+
+TEST(RouteMatch, DividesByWeight)
+{
+    Route split = route("a", "/");
+    split.services = { { kernel::ServiceName("old"), 90 }, { kernel::ServiceName("new"), 10 } };
+    EXPECT_EQ(pickService(split, 0.0)->str(), "old");
+    EXPECT_EQ(pickService(split, 0.899)->str(), "old");
+    EXPECT_EQ(pickService(split, 0.901)->str(), "new");
+    split.services = { { kernel::ServiceName("none"), 0 } };
+    EXPECT_EQ(pickService(split, 0.5), nullptr);
+}
+
+TEST(AttemptStateTable, SaysWhatMayBeRepeated)
+{
+    struct Row
+    {
+        RequestKind kind;
+        bool resumable;
+        bool mayHaveRun;
+        bool answerBegun;
+        bool repeat;
+    };
+    const std::vector<Row> rows{
+        { RequestKind::Safe, false, false, false, true },
+        { RequestKind::Safe, false, true, false, true },
+        { RequestKind::Safe, false, true, true, false },
+        { RequestKind::Unsafe, false, false, false, true },
+        { RequestKind::Unsafe, false, true, false, false },
+        { RequestKind::Unsafe, true, true, false, false },
+        { RequestKind::Streaming, false, false, false, true },
+        { RequestKind::Streaming, false, true, false, false },
+        { RequestKind::Streaming, true, true, false, true },
+        { RequestKind::Streaming, true, true, true, true },
+    };
+    for (const Row &row : rows) {
+        const AttemptState state{ row.kind, row.resumable, 3, 1, row.mayHaveRun, row.answerBegun };
+        EXPECT_EQ(mayRepeat(state), row.repeat)
+            << toString(row.kind) << row.resumable << row.mayHaveRun << row.answerBegun;
+        AttemptState used = state;
+        used.sent = 3;
+        EXPECT_FALSE(mayRepeat(used)) << "no more upstreams than allowed";
+    }
+}
+
+// A status that promises "not run" is impossible once a send may have reached an upstream.
+RC_GTEST_PROP(AttemptStateProperty, PromisesOnlyWhatIsTrue, ())
+{
+    AttemptState state;
+    state.kind = *rc::gen::element(RequestKind::Safe, RequestKind::Unsafe, RequestKind::Streaming);
+    state.resumable = *rc::gen::arbitrary<bool>();
+    state.maxAttempts = *rc::gen::inRange(1, 5);
+    // What really happened, kept apart from the state.
+    bool ran = false;
+    int runs = 0;
+    while (mayRepeat(state)) {
+        const bool before = state.mayHaveRun;
+        if (*rc::gen::arbitrary<bool>())
+            break;
+        const auto what = *rc::gen::inRange(0, 3);
+        if (what == 0) // no connection
+            break;
+        noteSent(state);
+        if (what == 1) {
+            noteRefused(state, before);
+        } else {
+            ran = true;
+            ++runs;
+        }
+    }
+    for (const EndReason reason : { EndReason::NoCapacity, EndReason::TimedOut, EndReason::Failed }) {
+        const int status = finalStatus(state, reason);
+        RC_ASSERT(!(ran && status == 503));
+        RC_ASSERT(status == 502 || status == 503 || status == 504);
+    }
+    RC_ASSERT(state.sent <= state.maxAttempts);
+    if (state.kind == RequestKind::Unsafe || (state.kind == RequestKind::Streaming && !state.resumable))
+        RC_ASSERT(runs <= 1);
+}
+
+// The sum of all daemons' repeats stays below the bound of the sum of their requests, in any window.
+RC_GTEST_PROP(RetryBudgetProperty, HoldsOverAllDaemons, ())
+{
+    const RetryBounds bounds{ 0.9, 58, 10s };
+    const int daemons = *rc::gen::inRange(1, 9);
+    std::vector<RetryBudget> budgets(static_cast<std::size_t>(daemons));
+    std::deque<kernel::Instant> requests;
+    std::deque<kernel::Instant> repeats;
+    kernel::Instant now = at(0);
+    const int steps = *rc::gen::inRange(1, 600);
+    for (int i = 0; i < steps; ++i) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
+        RetryBudget &budget = budgets[static_cast<std::size_t>(*rc::gen::inRange(0, daemons))];
+        if (*rc::gen::inRange(0, 3) == 0) {
+            noteRequest(budget, bounds, now);
+            requests.push_back(now);
+        } else if (takeRepeat(budget, bounds, now)) {
+            repeats.push_back(now);
+        }
+        while (!requests.empty() && requests.front() <= now - bounds.window)
+            requests.pop_front();
+        while (!repeats.empty() && repeats.front() <= now - bounds.window)
+            repeats.pop_front();
+        RC_ASSERT(static_cast<double>(repeats.size())
+                  <= bounds.ratio * static_cast<double>(requests.size()) + bounds.slack);
+    }
+}
+
+TEST(RetryBudgetTest, GivesLittleWithoutTraffic)
+{
+    const RetryBounds bounds{ 0.5, 20, 10s };
+    RetryBudget budget;
+    EXPECT_TRUE(takeRepeat(budget, bounds, at(0)));
+    EXPECT_TRUE(takeRepeat(budget, bounds, at(0)));
+    EXPECT_FALSE(takeRepeat(budget, bounds, at(0)));
+    EXPECT_TRUE(takeRepeat(budget, bounds, at(10001))) << "a window later";
+}
+
+// However a stream arrives, the same whole events come out.
+RC_GTEST_PROP(EventSplitterProperty, CutsAnywhere, ())
+{
+    std::string stream;
+    std::vector<std::string> expected;
+    const int events = *rc::gen::inRange(0, 8);
+    for (int i = 0; i < events; ++i) {
+        const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
+        const std::string event
+            = "id: " + std::to_string(i) + end + "data: " + *rc::gen::element<std::string>("", "x y")
+            + end + end;
+        stream += event;
+        expected.push_back(std::to_string(i) + "|" + event);
+    }
+    stream += "data: torn";
+    EventSplitter splitter;
+    std::vector<std::string> seen;
+    std::size_t position = 0;
+    while (position < stream.size()) {
+        const auto length = *rc::gen::inRange<std::size_t>(1, 12);
+        const bool usable = splitter.feed(std::string_view(stream).substr(position, length),
+                                          [&](const StreamEvent &event) {
+                                              seen.push_back(event.id.value_or("") + "|"
+                                                             + std::string(event.bytes));
+                                          });
+        RC_ASSERT(usable);
+        position += length;
+    }
+    RC_ASSERT(seen == expected);
+    RC_ASSERT(splitter.partial());
+}
+
+TEST(EventSplitterTest, RefusesAnEndlessEvent)
+{
+    EventSplitter splitter;
+    const std::string piece(EventSplitter::maxEventBytes + 1, 'x');
+    EXPECT_FALSE(splitter.feed(piece, [](const StreamEvent &) {}));
+}
+
+TEST(CrashListTest, StopsARequestAfterItsThirdCrash)
+{
+    CrashList list;
+    noteCrash(list, 7, kernel::UpstreamId("a"), at(0));
+    noteCrash(list, 7, kernel::UpstreamId("b"), at(10));
+    EXPECT_FALSE(crashesUpstreams(list, 7, at(20)));
+    noteCrash(list, 7, kernel::UpstreamId("c"), at(20));
+    EXPECT_TRUE(crashesUpstreams(list, 7, at(30)));
+    EXPECT_FALSE(crashesUpstreams(list, 8, at(30)));
+    noteRan(list, 7);
+    EXPECT_FALSE(crashesUpstreams(list, 7, at(40))) << "one that ran to its end crashes nobody";
+}
+
+TEST(CrashListTest, IsBounded)
+{
+    CrashList list;
+    for (RequestFingerprint i = 0; i < 5000; ++i)
+        noteCrash(list, i, kernel::UpstreamId("a"), at(static_cast<std::int64_t>(i)));
+    EXPECT_LE(list.entries.size(), 1024U);
+    EXPECT_TRUE(list.entries.contains(4999));
+}
+
+TEST(ModelChoice, AsksTheSmallestFirstAndTheLargestOnDoubt)
+{
+    Route sized = route("a", "/");
+    sized.models = { "small", "middle", "large" };
+    sized.latencyObjective = 1000ms;
+    const ModelWork reading{ "", 4000, 2, {} };
+    const ModelWork writing{ "", 10, 4000, {} };
+    const ModelRules rules{ 50, 30, 0.2 };
+    EXPECT_EQ(firstModel(sized, reading), "small");
+    const auto ask = [&](const ModelWork &work, int confidence, int left, kernel::Duration time) {
+        return escalateTo(sized, rules, work, "small", confidence, left, time);
+    };
+    EXPECT_EQ(ask(reading, 40, 2, 900ms), "large");
+    EXPECT_EQ(ask(reading, 60, 2, 900ms), "");
+    EXPECT_EQ(ask(writing, 60, 2, 900ms), "large") << "an answer that costs little to ask again for";
+    EXPECT_EQ(ask(writing, 85, 2, 900ms), "");
+    EXPECT_EQ(ask(reading, 40, 0, 900ms), "") << "no send is left";
+    EXPECT_EQ(ask(reading, 40, 2, 100ms), "") << "too late";
+    EXPECT_EQ(escalateTo(sized, rules, reading, "large", 0, 2, 900ms), "");
+    EXPECT_EQ(escalateTo(sized, rules, reading, "small", std::nullopt, 2, 900ms), "");
+    sized.models.clear();
+    EXPECT_EQ(firstModel(sized, { "own", 1, 1, {} }), "own");
+}
--- /dev/null
+++ b/src/forwarding/tests/directory_tests.cpp
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+kernel::Instant at(kernel::Duration time)
+{
+    return kernel::Instant(time);
+}
+
+std::shared_ptr<Configuration> configuration(std::int64_t number)
+{
+    auto result = std::make_shared<Configuration>();
+    result->number = ConfigurationNumber(number);
+    return result;
+}
+
+Upstream upstream(const std::string &id, bool draining = false)
+{
+    Upstream result;
+    result.id = kernel::UpstreamId(id);
+    result.service = kernel::ServiceName("s");
+    result.version = SoftwareVersion("v1");
+    result.draining = draining;
+    return result;
+}
+
+} // namespace
+
+// Whatever the order and the repeats, the newest configuration seen is in force.
+RC_GTEST_PROP(DirectoryProperty, ConfigurationNeverGoesBack, ())
+{
+    Directory directory;
+    std::int64_t newest = 0;
+    const auto numbers = *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange(1, 50));
+    for (const std::int64_t number : numbers) {
+        newest = std::max(newest, number);
+        putConfiguration(directory, configuration(number), kernel::Revision(number), at(1s));
+        RC_ASSERT(directory.configuration->number.count() == newest);
+    }
+}
+
+RC_GTEST_PROP(DirectoryProperty, RolloutNeverGoesBack, ())
+{
+    Directory directory;
+    std::int64_t newest = 0;
+    const auto revisions = *rc::gen::container<std::vector<std::int64_t>>(rc::gen::inRange(1, 50));
+    for (const std::int64_t revision : revisions) {
+        Rollout rollout;
+        rollout.service = kernel::ServiceName("s");
+        rollout.revision = kernel::Revision(revision);
+        putRollout(directory, rollout);
+        newest = std::max(newest, revision);
+        RC_ASSERT(directory.rollouts.at(rollout.service).revision.count() == newest);
+    }
+}
+
+TEST(DirectoryTest, ServesOnlyWithConfigurationAndUpstreams)
+{
+    Directory directory;
+    EXPECT_FALSE(canServe(directory));
+    putConfiguration(directory, configuration(1), kernel::Revision(1), at(0s));
+    EXPECT_FALSE(canServe(directory));
+    replaceUpstreams(directory, {}, at(0s));
+    EXPECT_TRUE(canServe(directory));
+}
+
+TEST(DirectoryTest, DropsAnUpstreamAtOnceWhileTheStoreIsThere)
+{
+    Directory directory;
+    directory.storeBackSince = at(0s);
+    putUpstream(directory, upstream("a"));
+    EXPECT_EQ(removeUpstream(directory, kernel::UpstreamId("a"), at(10s)), DirectoryChange::Removed);
+    EXPECT_TRUE(directory.upstreams.empty());
+}
+
+TEST(DirectoryTest, KeepsUpstreamsThatLapseWhileTheStoreIsAway)
+{
+    Directory directory;
+    directory.storeBackSince = at(0s);
+    putUpstream(directory, upstream("a"));
+    putUpstream(directory, upstream("b"));
+    EXPECT_TRUE(noteStoreAway(directory));
+    EXPECT_FALSE(noteStoreAway(directory));
+    EXPECT_EQ(removeUpstream(directory, kernel::UpstreamId("a"), at(20s)),
+              DirectoryChange::RemovalDeferred);
+    EXPECT_TRUE(noteStoreBack(directory, at(30s)));
+    replaceUpstreams(directory, {}, at(30s));
+    EXPECT_EQ(directory.upstreams.size(), 2U);
+    EXPECT_TRUE(expireMissing(directory, at(32s)).empty());
+    putUpstream(directory, upstream("b"));
+    EXPECT_EQ(expireMissing(directory, at(33s)).size(), 1U) << "the one that did not come back";
+    EXPECT_TRUE(directory.upstreams.contains(kernel::UpstreamId("b")));
+}
+
+TEST(DirectoryTest, OneThatSaidThatItLeavesHasLeft)
+{
+    Directory directory;
+    noteStoreAway(directory);
+    putUpstream(directory, upstream("a", true));
+    EXPECT_EQ(removeUpstream(directory, kernel::UpstreamId("a"), at(20s)), DirectoryChange::Removed);
+}
+
+TEST(DirectoryTest, CandidatesFollowVersionsAndLeaving)
+{
+    Directory directory;
+    putUpstream(directory, upstream("old"));
+    putUpstream(directory, upstream("leaving", true));
+    Upstream fresh = upstream("new");
+    fresh.version = SoftwareVersion("v2");
+    putUpstream(directory, fresh);
+    const kernel::ServiceName service("s");
+    EXPECT_EQ(candidatesOf(directory, service, VersionChoice::New).size(), 2U)
+        << "without a roll-out versions do not matter";
+    Rollout rollout;
+    rollout.service = service;
+    rollout.target = SoftwareVersion("v2");
+    putRollout(directory, rollout);
+    ASSERT_EQ(candidatesOf(directory, service, VersionChoice::New).size(), 1U);
+    EXPECT_EQ(candidatesOf(directory, service, VersionChoice::New)[0]->id.str(), "new");
+    ASSERT_EQ(candidatesOf(directory, service, VersionChoice::Old).size(), 1U);
+    EXPECT_EQ(candidatesOf(directory, service, VersionChoice::Old)[0]->id.str(), "old");
+}
--- /dev/null
+++ b/src/forwarding/tests/fakes.cpp
@@ -0,0 +1,215 @@
+#include "forwarding/tests/fakes.h"
+
+#include <utility>
+
+namespace acaciasail::forwarding::tests {
+
+namespace {
+
+class FakeExchange : public http::Exchange
+{
+public:
+    explicit FakeExchange(std::shared_ptr<Send> send)
+        : m_send(std::move(send))
+    {}
+    FakeExchange(const FakeExchange &) = delete;
+    FakeExchange &operator=(const FakeExchange &) = delete;
+    ~FakeExchange() override { m_send->cancelled = true; }
+    void pauseReading(bool pause) override { m_send->paused = pause; }
+
+private:
+    std::shared_ptr<Send> m_send;
+};
+
+ForwarderPorts makePorts(Site &site)
+{
+    ForwarderPorts ports;
+    ports.send = site.http.sender();
+    ports.wire = plainWire();
+    ports.writeRollout = [&site](const Rollout &rollout, const RolloutStep &step) {
+        site.steps.emplace_back(rollout, step);
+    };
+    return ports;
+}
+
+ForwardingOptions makeOptions()
+{
+    ForwardingOptions options;
+    options.vm = kernel::VmId("vm-1");
+    options.dataCentre = kernel::DataCentreId("dc-1");
+    options.retries = { 0.9, 500, std::chrono::seconds(10) };
+    return options;
+}
+
+Route makeRoute(const std::string &name, RequestKind kind, int attempts)
+{
+    Route route;
+    route.name = RouteName(name);
+    route.host = "site.example";
+    route.pathPrefix = "/" + name + "/";
+    route.kind = kind;
+    route.maxAttempts = attempts;
+    route.timeout = std::chrono::seconds(5);
+    route.latencyObjective = std::chrono::milliseconds(500);
+    route.services.push_back(
+        { kernel::ServiceName(kind == RequestKind::Streaming ? "engines" : "desk"), 1 });
+    return route;
+}
+
+} // namespace
+
+void Send::answer(int status, std::string_view text)
+{
+    // The handlers may be let go within a call, as the real client does.
+    const http::ClientHandlers kept = handlers;
+    kept.onSent();
+    kept.onHead({ status, { { "proof", "p" } } });
+    if (!cancelled && !text.empty())
+        kept.onBody(text);
+    if (!cancelled)
+        kept.onEnd(kernel::Done{});
+}
+
+HttpSender FakeHttp::sender()
+{
+    return [this](const http::ClientRequest &request, http::ClientHandlers handlers) {
+        sends.push_back(std::make_shared<Send>(Send{ request, std::move(handlers) }));
+        return std::make_unique<FakeExchange>(sends.back());
+    };
+}
+
+void FakeResponder::send(int code, const http::Headers &fields, std::string_view text)
+{
+    status = code;
+    headers = fields;
+    body = text;
+    ended = true;
+}
+
+void FakeResponder::start(int code, const http::Headers &fields)
+{
+    status = code;
+    headers = fields;
+}
+
+void FakeResponder::finish()
+{
+    ended = true;
+}
+
+void FakeResponder::abort()
+{
+    aborted = true;
+    ended = true;
+}
+
+std::string FakeResponder::header(std::string_view name) const
+{
+    return std::string(http::findHeader(headers, name).value_or(""));
+}
+
+UpstreamWire plainWire()
+{
+    UpstreamWire wire;
+    wire.encode = [](const Request &request, const AttemptFacts &facts) {
+        http::ClientRequest result;
+        result.endpoint = facts.endpoint;
+        result.method = request.method;
+        result.path = request.target;
+        result.body = request.body;
+        result.maxIdle = facts.maxIdle;
+        result.headers = request.headers;
+        result.headers.push_back({ "upstream", facts.upstream.str() });
+        result.headers.push_back({ "workspace", facts.workspace.str() });
+        result.headers.push_back({ "model", facts.model });
+        result.headers.push_back(
+            { "left", std::to_string(kernel::toMilliseconds(facts.timeLeft)) });
+        result.headers.push_back({ "resume", facts.resumeAfter.value_or("") });
+        return result;
+    };
+    wire.decodeHead = [](const http::ClientHead &head) {
+        AnswerHead result;
+        result.status = head.status;
+        result.headers = head.headers;
+        result.notRun = http::findHeader(head.headers, "not-run").has_value();
+        result.wrongUpstream = head.status == 421;
+        result.proven = http::findHeader(head.headers, "proof").has_value();
+        result.encoded = http::findHeader(head.headers, "content-encoding").has_value();
+        result.events = http::findHeader(head.headers, "events").has_value();
+        if (const auto confidence = http::findHeader(head.headers, "confidence"))
+            result.confidence = std::stoi(std::string(*confidence));
+        return result;
+    };
+    return wire;
+}
+
+Site::Site()
+    : forwarder(clock.scheduler(), makePorts(*this), makeOptions(), kernel::Random(1))
+{
+    clock.advance(std::chrono::seconds(100));
+    forwarder.setConfiguration(makeConfiguration(1), kernel::Revision(1));
+    forwarder.setUpstreams({});
+    forwarder.setStoreReachable(true);
+    for (const char *id : { "d1", "d2", "d3" })
+        addUpstream(id, "desk");
+    for (const char *id : { "e1", "e2", "e3" })
+        addUpstream(id, "engines");
+}
+
+std::shared_ptr<Configuration> Site::makeConfiguration(std::int64_t number) const
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->number = ConfigurationNumber(number);
+    configuration->routes = { makeRoute("safe", RequestKind::Safe, 2),
+                              makeRoute("unsafe", RequestKind::Unsafe, 3),
+                              makeRoute("chat", RequestKind::Streaming, 3),
+                              makeRoute("once", RequestKind::Streaming, 3) };
+    configuration->routes[2].resumable = true;
+    configuration->routes[2].models = { "small", "middle", "large" };
+    configuration->workspaces.push_back({ kernel::WorkspaceId("makers"), std::nullopt });
+    configuration->keys.emplace("key", 0);
+    return configuration;
+}
+
+void Site::addUpstream(const std::string &id, const std::string &service, const std::string &version)
+{
+    Upstream upstream;
+    upstream.id = kernel::UpstreamId(id);
+    upstream.service = kernel::ServiceName(service);
+    upstream.endpoint = { "10.0.0.1", static_cast<unsigned short>(1000 + id.back()) };
+    upstream.dataCentre = kernel::DataCentreId("dc-1");
+    upstream.version = SoftwareVersion(version);
+    upstream.slots = 4;
+    forwarder.setUpstream(upstream);
+}
+
+Request Site::request(const std::string &target) const
+{
+    Request request;
+    request.id = kernel::RequestId("r" + std::to_string(lastRequest));
+    request.method = "POST";
+    request.host = "site.example";
+    request.target = target;
+    request.key = "key";
+    request.arrived = clock.now();
+    return request;
+}
+
+std::shared_ptr<FakeResponder> Site::ask(const std::string &target, const std::string &body)
+{
+    ++lastRequest;
+    Request asked = request(target);
+    asked.body = body;
+    if (target.starts_with("/chat/"))
+        asked.work = ModelWork{ "", 100, 100, { { "common", 50 }, { "thing", 40 }, { "own", 10 } } };
+    return ask(std::move(asked));
+}
+
+std::shared_ptr<FakeResponder> Site::ask(Request asked)
+{
+    auto responder = std::make_shared<FakeResponder>();
+    forwarder.handle(std::move(asked), responder);
+    return responder;
+}
+
+} // namespace acaciasail::forwarding::tests
--- /dev/null
+++ b/src/forwarding/tests/fakes.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "forwarding/forwarding.h"
+
+namespace acaciasail::forwarding::tests {
+
+/// One send to an upstream, whose answer a test gives by hand.
+struct Send
+{
+    http::ClientRequest request;
+    http::ClientHandlers handlers;
+    bool cancelled = false;
+    bool paused = false;
+
+    void connect() { handlers.onSent(); }
+    void head(int status, const http::Headers &headers = {}) { handlers.onHead({ status, headers }); }
+    void body(std::string_view piece) { handlers.onBody(piece); }
+    void complete() { handlers.onEnd(kernel::Done{}); }
+    void fail(kernel::ResultCode code) { handlers.onEnd(kernel::Error{ code, "test" }); }
+    /// A whole proven answer.
+    void answer(int status, std::string_view text);
+};
+
+/// Collects what the flow sends.
+class FakeHttp
+{
+public:
+    HttpSender sender();
+    Send &last() { return *sends.back(); }
+    std::vector<std::shared_ptr<Send>> sends;
+};
+
+/// What a caller got.
+class FakeResponder : public http::Responder
+{
+public:
+    void send(int code, const http::Headers &fields, std::string_view text) override;
+    void start(int code, const http::Headers &fields) override;
+    void write(std::string_view piece) override { body += piece; }
+    void finish() override;
+    void abort() override;
+    std::size_t queuedBytes() const override { return queued; }
+    void whenDrained(std::function<void()> function) override { onDrained = std::move(function); }
+    void whenClosed(std::function<void()> function) override { onClosed = std::move(function); }
+    bool closed() const override { return ended; }
+
+    std::string header(std::string_view name) const;
+
+    int status = 0;
+    http::Headers headers;
+    std::string body;
+    bool ended = false;
+    bool aborted = false;
+    std::size_t queued = 0;
+    std::function<void()> onDrained;
+    std::function<void()> onClosed;
+};
+
+/// The wire form of the tests: facts stand in headers of the same names.
+UpstreamWire plainWire();
+
+/// A forwarder on a manual clock with one route of each kind and upstreams for them.
+struct Site
+{
+    Site();
+    Site(const Site &) = delete;
+    Site &operator=(const Site &) = delete;
+
+    std::shared_ptr<Configuration> makeConfiguration(std::int64_t number) const;
+    void addUpstream(const std::string &id, const std::string &service,
+                     const std::string &version = "v1");
+    /// A request to a path; its key is the test workspace's.
+    std::shared_ptr<FakeResponder> ask(const std::string &target, const std::string &body = "");
+    std::shared_ptr<FakeResponder> ask(Request request);
+    Request request(const std::string &target) const;
+
+    kernel::ManualScheduler clock;
+    FakeHttp http;
+    std::vector<std::pair<Rollout, RolloutStep>> steps;
+    Forwarder forwarder;
+    int lastRequest = 0;
+};
+
+} // namespace acaciasail::forwarding::tests
--- /dev/null
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -0,0 +1,136 @@
+#include <gtest/gtest.h>
+
+#include "forwarding/tests/fakes.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace acaciasail::forwarding::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+Rollout order(std::int64_t revision)
+{
+    Rollout rollout;
+    rollout.service = kernel::ServiceName("engines");
+    rollout.target = SoftwareVersion("v2");
+    rollout.wantedTime = 20s;
+    rollout.revision = kernel::Revision(revision);
+    return rollout;
+}
+
+// Plays the store: each step that is asked for takes effect.
+void play(Site &site, kernel::Duration time, const std::function<void()> &eachTick)
+{
+    const std::size_t begin = site.steps.size();
+    std::size_t applied = begin;
+    for (kernel::Duration passed{}; passed < time; passed += 250ms) {
+        eachTick();
+        site.clock.advance(250ms);
+        for (; applied < site.steps.size(); ++applied) {
+            Rollout next = site.forwarder.state().directory.rollouts.begin()->second;
+            next.state = site.steps[applied].second.state;
+            next.sharePermille = site.steps[applied].second.sharePermille;
+            next.revision += kernel::Revision(1);
+            site.forwarder.setRollout(next);
+        }
+    }
+}
+
+} // namespace
+
+TEST(ForwarderTest, ARunningRequestKeepsItsConfiguration)
+{
+    Site site;
+    const auto caller = site.ask("/safe/x");
+    const auto next = site.makeConfiguration(2);
+    next->routes.clear();
+    site.forwarder.setConfiguration(next, kernel::Revision(2));
+    EXPECT_EQ(site.ask("/safe/x")->status, 404);
+    site.http.sends[0]->answer(200, "ok");
+    EXPECT_EQ(caller->status, 200);
+    site.forwarder.setConfiguration(site.makeConfiguration(1), kernel::Revision(3));
+    EXPECT_EQ(site.ask("/safe/x")->status, 404) << "an older one does not come back";
+}
+
+TEST(ForwarderTest, AGoodRolloutIsCompletedInTime)
+{
+    Site site;
+    for (const char *id : { "n1", "n2", "n3" })
+        site.addUpstream(id, "engines", "v2");
+    site.forwarder.setRollout(order(1));
+    int asked = 0;
+    play(site, 20s, [&] {
+        for (int i = 0; i < 5; ++i) {
+            Request request = site.request("/once/x");
+            request.work = ModelWork{ "m", 10, 10, { { std::to_string(++asked), 10 } } };
+            site.ask(request);
+            site.http.last().answer(200, "ok");
+        }
+    });
+    ASSERT_FALSE(site.steps.empty());
+    EXPECT_EQ(site.steps.back().second.state, RolloutState::Completed);
+}
+
+TEST(ForwarderTest, ABadRolloutIsTakenBackAndGetsLittle)
+{
+    Site site;
+    for (const char *id : { "n1", "n2", "n3" })
+        site.addUpstream(id, "engines", "v2");
+    site.forwarder.setRollout(order(1));
+    int asked = 0;
+    int exposed = 0;
+    play(site, 20s, [&] {
+        for (int i = 0; i < 10; ++i) {
+            Request request = site.request("/once/x");
+            request.work = ModelWork{ "m", 10, 10, { { std::to_string(++asked), 10 } } };
+            site.ask(request);
+            const bool onTarget
+                = http::findHeader(site.http.last().request.headers, "upstream")->starts_with("n");
+            exposed += onTarget ? 1 : 0;
+            site.http.last().answer(onTarget && i % 2 == 0 ? 500 : 200, "ok");
+        }
+    });
+    ASSERT_FALSE(site.steps.empty());
+    EXPECT_EQ(site.steps.back().second.state, RolloutState::RolledBack);
+    EXPECT_LT(exposed, asked * 15 / 100);
+    const auto last = site.forwarder.state().directory.rollouts.begin()->second;
+    EXPECT_EQ(last.state, RolloutState::RolledBack);
+}
+
+TEST(ForwarderTest, AStoppingRouterTakesOnlyWhatItCanFinish)
+{
+    Site site;
+    // Requests of this route have taken 400 ms.
+    const auto known = site.ask("/safe/x");
+    site.clock.advance(400ms);
+    site.http.last().answer(200, "ok");
+    const kernel::Instant end = site.clock.now() + 2s;
+    site.forwarder.endBy(end, false);
+    EXPECT_FALSE(site.ask("/safe/x")->ended);
+    const auto unseen = site.ask("/unsafe/x");
+    EXPECT_EQ(unseen->status, 503) << "its route's time-out does not fit";
+    EXPECT_EQ(unseen->header("retry-after"), "0.050000");
+    site.clock.advance(1500ms);
+    site.forwarder.endBy(end, true);
+    const auto late = site.ask("/safe/x");
+    EXPECT_EQ(late->status, 503);
+    EXPECT_EQ(late->header("retry-after"), "1.300000") << "this one is back then";
+}
+
+TEST(ForwarderTest, AnUpstreamThatStartsAnewIsJudgedAnew)
+{
+    Site site;
+    const kernel::UpstreamId id("d1");
+    for (const char *other : { "d2", "d3" })
+        site.forwarder.dropUpstream(kernel::UpstreamId(other));
+    site.clock.advance(3s);
+    site.ask("/unsafe/x");
+    site.http.last().connect();
+    site.http.last().fail(kernel::ResultCode::UpstreamBroken);
+    EXPECT_GT(site.forwarder.state().records.at(id).avoidUntil, site.clock.now());
+    Upstream again = site.forwarder.state().directory.upstreams.at(id).entry;
+    again.startedAtMs = 12345;
+    site.forwarder.setUpstream(again);
+    EXPECT_LE(site.forwarder.state().records.at(id).avoidUntil, site.clock.now());
+}
--- /dev/null
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -0,0 +1,155 @@
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr kernel::Duration wanted = 20s;
+const RouteName chat("chat");
+
+kernel::Instant at(kernel::Duration time)
+{
+    return kernel::Instant(time);
+}
+
+Rollout running(int share)
+{
+    Rollout rollout;
+    rollout.service = kernel::ServiceName("s");
+    rollout.target = SoftwareVersion("v2");
+    rollout.wantedTime = wanted;
+    rollout.state = RolloutState::Running;
+    rollout.sharePermille = share;
+    return rollout;
+}
+
+void answers(RolloutEvidence &evidence, bool onTarget, int good, int bad, int upstreams = 3)
+{
+    for (int i = 0; i < good + bad; ++i) {
+        const kernel::UpstreamId id((onTarget ? "new" : "old") + std::to_string(i % upstreams));
+        const bool failed = i < bad;
+        noteAnswer(evidence, chat, id, onTarget, failed,
+                   failed ? std::nullopt : std::optional<kernel::Duration>(100ms));
+    }
+}
+
+} // namespace
+
+// As the share grows, a session moves to the target once and never back.
+RC_GTEST_PROP(RolloutProperty, SessionsMoveOnce, ())
+{
+    const auto session = *rc::gen::arbitrary<std::string>();
+    bool moved = false;
+    for (int share = 0; share <= 1000; share += 50) {
+        const bool onTarget = chooseVersion(running(share), session) == VersionChoice::New;
+        RC_ASSERT(!moved || onTarget);
+        moved = onTarget;
+    }
+    RC_ASSERT(moved);
+}
+
+TEST(RolloutPlan, NothingMovesInTheFirstHalf)
+{
+    RolloutEvidence evidence;
+    Rollout rollout = running(0);
+    rollout.state = RolloutState::Ordered;
+    const auto first = nextStep(rollout, evidence, 3, 3, at(0s));
+    ASSERT_TRUE(first.has_value());
+    EXPECT_EQ(*first, (RolloutStep{ RolloutState::Running, 0 }));
+    EXPECT_FALSE(nextStep(running(0), evidence, 3, 3, at(wanted / 2)).has_value());
+    for (int i = 0; i < 1000; ++i)
+        EXPECT_EQ(chooseVersion(running(0), std::to_string(i)), VersionChoice::Old);
+}
+
+TEST(RolloutPlan, AGoodVersionIsCompletedInTime)
+{
+    RolloutEvidence evidence;
+    Rollout rollout = running(0);
+    for (kernel::Duration time{}; time < wanted; time += 250ms) {
+        answers(evidence, true, rollout.sharePermille / 100, 0);
+        answers(evidence, false, 10, 0);
+        const auto step = nextStep(rollout, evidence, 3, 3, at(time));
+        if (!step)
+            continue;
+        EXPECT_GT(step->sharePermille + (step->state == RolloutState::Completed ? 1 : 0),
+                  rollout.sharePermille);
+        rollout.state = step->state;
+        rollout.sharePermille = step->sharePermille;
+        evidence.shareSince = at(time);
+    }
+    EXPECT_EQ(rollout.state, RolloutState::Completed);
+}
+
+TEST(RolloutPlan, WaitsForUpstreamsOfTheTarget)
+{
+    EXPECT_FALSE(nextStep(running(0), {}, 0, 3, at(wanted)).has_value());
+    const auto late = nextStep(running(1000), {}, 1, 3, at(wanted));
+    EXPECT_FALSE(late.has_value()) << "too few to carry the old ones' work";
+}
+
+TEST(RolloutPlan, ManyFailuresCondemnTheTarget)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 50, 1);
+    answers(evidence, true, 5, 3);
+    EXPECT_FALSE(isBad(evidence)) << "three may be chance";
+    answers(evidence, true, 0, 2);
+    EXPECT_TRUE(isBad(evidence));
+    evidence.condemned = true;
+    const auto step = nextStep(running(250), evidence, 3, 3, at(12s));
+    ASSERT_TRUE(step.has_value());
+    EXPECT_EQ(step->state, RolloutState::RolledBack);
+    Rollout done = running(0);
+    done.state = RolloutState::RolledBack;
+    EXPECT_FALSE(nextStep(done, evidence, 3, 3, at(13s)).has_value());
+    EXPECT_EQ(chooseVersion(done, "any"), VersionChoice::Old);
+}
+
+TEST(RolloutPlan, FailuresOfBothVersionsCondemnNobody)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 60, 40);
+    answers(evidence, true, 30, 20);
+    EXPECT_FALSE(isBad(evidence));
+}
+
+TEST(RolloutPlan, OneFailingUpstreamSaysNothingOfTheVersion)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 50, 0);
+    answers(evidence, true, 20, 0, 3);
+    for (int i = 0; i < 10; ++i)
+        noteAnswer(evidence, chat, kernel::UpstreamId("new0"), true, true, std::nullopt);
+    EXPECT_FALSE(isBad(evidence));
+}
+
+TEST(RolloutPlan, SlowAnswersAreBad)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 50, 0);
+    for (int i = 0; i < 12; ++i) {
+        noteAnswer(evidence, chat, kernel::UpstreamId("new" + std::to_string(i % 3)), true, false,
+                   900ms);
+    }
+    EXPECT_TRUE(isBad(evidence));
+}
+
+TEST(RolloutPlan, OneBadRouteIsEnough)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 100, 0);
+    answers(evidence, true, 100, 0);
+    const RouteName other("other");
+    for (int i = 0; i < 20; ++i) {
+        noteAnswer(evidence, other, kernel::UpstreamId("old0"), false, false, 100ms);
+        noteAnswer(evidence, other, kernel::UpstreamId("new" + std::to_string(i % 3)), true,
+                   i % 2 == 0, std::nullopt);
+    }
+    EXPECT_TRUE(isBad(evidence));
+}
--- /dev/null
+++ b/src/forwarding/tests/upstreamchoice_tests.cpp
@@ -0,0 +1,143 @@
+#include <cmath>
+#include <map>
+
+#include <gtest/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+class Choice : public testing::Test
+{
+protected:
+    Choice()
+    {
+        for (int i = 0; i < 4; ++i) {
+            Upstream upstream;
+            upstream.id = kernel::UpstreamId("u" + std::to_string(i));
+            upstream.dataCentre = kernel::DataCentreId(i < 2 ? "near" : "far");
+            m_upstreams.push_back(upstream);
+        }
+        for (const Upstream &upstream : m_upstreams)
+            m_candidates.push_back(&upstream);
+        m_query.ownDataCentre = kernel::DataCentreId("near");
+        m_query.now = kernel::Instant(100s);
+    }
+
+    UpstreamChoice choose() { return chooseUpstream(m_candidates, m_records, m_query, m_random); }
+
+    std::vector<Upstream> m_upstreams;
+    std::vector<const Upstream *> m_candidates;
+    UpstreamRecords m_records;
+    UpstreamQuery m_query;
+    kernel::Random m_random{ 1 };
+};
+
+} // namespace
+
+TEST_F(Choice, AKeyStaysWithOneUpstreamOnEveryDaemon)
+{
+    m_query.affinity = "thing";
+    const kernel::UpstreamId first = choose().upstream->id;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        m_random.seed(seed);
+        EXPECT_EQ(choose().upstream->id, first);
+    }
+}
+
+TEST_F(Choice, AHotKeySpreadsOverUpstreams)
+{
+    m_query.affinity = "hot";
+    std::map<kernel::UpstreamId, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        const UpstreamChoice choice = choose();
+        noteBegin(m_records[choice.upstream->id], m_query.work);
+        ++counts[choice.upstream->id];
+    }
+    ASSERT_EQ(counts.size(), 4U);
+    for (const auto &[id, count] : counts)
+        EXPECT_LE(count, 14) << id;
+}
+
+TEST_F(Choice, PlainWorkStaysNearWhileThereIsRoom)
+{
+    for (int i = 0; i < 4; ++i) {
+        const UpstreamChoice choice = choose();
+        EXPECT_EQ(choice.upstream->dataCentre.str(), "near");
+        noteBegin(m_records[choice.upstream->id], 1);
+    }
+    EXPECT_EQ(choose().upstream->dataCentre.str(), "far");
+}
+
+TEST_F(Choice, AvoidedOnesAreTheLastResort)
+{
+    for (const Upstream &upstream : m_upstreams)
+        m_records[upstream.id].avoidUntil = m_query.now + 1s;
+    m_records[m_upstreams[2].id].avoidUntil = {};
+    EXPECT_EQ(choose().upstream->id, m_upstreams[2].id);
+    const std::set<kernel::UpstreamId> tried{ m_upstreams[2].id };
+    m_query.exclude = &tried;
+    const UpstreamChoice choice = choose();
+    EXPECT_EQ(choice.reason, ChoiceReason::AvoidedIgnored);
+    EXPECT_NE(choice.upstream->id, m_upstreams[2].id);
+}
+
+TEST_F(Choice, NobodyIsChosenWhereAllAreExcluded)
+{
+    std::set<kernel::UpstreamId> tried;
+    for (const Upstream &upstream : m_upstreams)
+        tried.insert(upstream.id);
+    m_query.exclude = &tried;
+    EXPECT_EQ(choose().upstream, nullptr);
+}
+
+TEST(UpstreamRecordTest, AFailingUpstreamIsAvoidedEachTimeLonger)
+{
+    UpstreamRecord record;
+    kernel::Instant now(10s);
+    const auto failUntilEjected = [&] {
+        for (int i = 0; i < 10; ++i) {
+            noteBegin(record, 1);
+            if (noteEnd(record, RunOutcome::Failed, 1, 0.01, now))
+                return true;
+        }
+        return false;
+    };
+    ASSERT_TRUE(failUntilEjected());
+    EXPECT_EQ(record.avoidUntil, now + 2s);
+    now = record.avoidUntil;
+    ASSERT_TRUE(failUntilEjected());
+    EXPECT_EQ(record.avoidUntil, now + 4s);
+    now = record.avoidUntil;
+    noteBegin(record, 1);
+    noteEnd(record, RunOutcome::Good, 1, 0.01, now);
+    ASSERT_TRUE(failUntilEjected());
+    EXPECT_EQ(record.avoidUntil, now + 2s) << "a good answer clears it";
+}
+
+TEST(UpstreamRecordTest, AServiceThatFailsAsAWholeEjectsNobodyByShare)
+{
+    UpstreamRecord record;
+    const kernel::Instant now(10s);
+    for (int i = 0; i < 100; ++i) {
+        noteBegin(record, 1);
+        const RunOutcome outcome = i % 2 == 0 ? RunOutcome::Failed : RunOutcome::Good;
+        EXPECT_FALSE(noteEnd(record, outcome, 1, 0.5, now));
+    }
+}
+
+TEST(UpstreamRecordTest, WorkInFlightComesBackToZero)
+{
+    UpstreamRecord record;
+    noteBegin(record, 2.5);
+    noteBegin(record, 1.5);
+    noteEnd(record, RunOutcome::Cancelled, 2.5, 0, kernel::Instant(1s));
+    EXPECT_DOUBLE_EQ(record.workInFlight, 1.5);
+    noteEnd(record, RunOutcome::Good, 1.5, 0, kernel::Instant(1s));
+    EXPECT_DOUBLE_EQ(record.workInFlight, 0);
+    EXPECT_EQ(record.inFlight, 0);
+}
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -22,6 +22,8 @@
 
 // Idle connections kept for one endpoint; further ones are closed.
 constexpr std::size_t maxIdlePerEndpoint = 32;
+// Longest time for which a request whose answer is complete may still be on its way.
+constexpr kernel::Duration lingerTime = std::chrono::seconds(1);
 // Part of an upstream's advertised idle time for which its connection is kept.
 constexpr double keptPartOfKeepAlive = 0.5;
 
@@ -247,6 +249,10 @@
             return;
         const auto self = raw->shared_from_this();
         self->m_writing = false;
+        if (self->m_lingering) {
+            self->endLinger(error == nullptr);
+            return;
+        }
         if (error != nullptr)
             self->end(kernel::Error{ kernel::ResultCode::UpstreamBroken, error });
     }
@@ -300,11 +306,32 @@
             end(kernel::Error{ kernel::ResultCode::UpstreamProtocol, "the answer is malformed" });
             return;
         }
-        if (!connectionSpent && !m_writing && m_parser.keepAlive())
-            keepConnection();
+        if (!connectionSpent && m_parser.keepAlive()) {
+            if (m_writing)
+                linger();
+            else
+                keepConnection();
+        }
         end(kernel::Done{});
     }
 
+    // The answer came before the loop told that the request was written; the connection can be kept
+    // once it tells. One whose upstream leaves the request unread is closed.
+    void linger()
+    {
+        h2o_socket_read_stop(m_socket.get());
+        m_lingering = shared_from_this();
+    }
+
+    void endLinger(bool keep)
+    {
+        const auto self = std::move(m_lingering);
+        m_timer.cancel();
+        if (keep)
+            keepConnection();
+        m_socket.reset();
+    }
+
     void keepConnection()
     {
         m_socket->data = nullptr;
@@ -358,7 +385,10 @@
     {
         if (m_inCallback)
             return;
-        m_socket.reset();
+        if (m_lingering)
+            m_timer = kernel::Timer(scheduler(), lingerTime, [this] { endLinger(false); });
+        else
+            m_socket.reset();
         m_handlers = {};
     }
 
@@ -407,6 +437,7 @@
     bool m_paused = false;
     bool m_headSeen = false;
     bool m_inCallback = false;
+    std::shared_ptr<ExchangeState> m_lingering;
     bool m_ended = false;
 };
 
--- /dev/null
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -0,0 +1,168 @@
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include "http/http.h"
+#include "http/tests/rawserver.h"
+
+using namespace acaciasail;
+using namespace acaciasail::http;
+using acaciasail::http::tests::RawServer;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::chrono::seconds patience{ 5 };
+const std::string whole = "HTTP/1.1 200 OK\r\nx-id: 7\r\ncontent-length: 2\r\n\r\nok";
+
+// One request to a server that misbehaves.
+class ClientFaults : public testing::Test
+{
+protected:
+    void send(kernel::Duration maxIdle = 5s)
+    {
+        m_end.reset();
+        m_body.clear();
+        ClientRequest request{ .endpoint = m_server.endpoint() };
+        request.maxIdle = maxIdle;
+        request.headers.push_back({ "x-id", "7" });
+        request.echoedHeader = "x-id";
+        m_exchange = m_client.send(
+            request, { .onSent = [&] { m_sent = true; },
+                       .onHead = [&](const ClientHead &head) { m_status = head.status; },
+                       .onBody = [&](std::string_view piece) { m_body += piece; },
+                       .onEnd = [&](kernel::Completion<kernel::Done> outcome) {
+                           m_end = std::move(outcome);
+                       } });
+    }
+
+    // The result code of the request's end; Ok for a whole answer.
+    kernel::ResultCode end()
+    {
+        m_loop.runUntil([&] { return m_end.has_value(); }, patience);
+        if (!m_end)
+            return kernel::ResultCode::InternalError;
+        return m_end->ok() ? kernel::ResultCode::Ok : m_end->error().code;
+    }
+
+    EventLoop m_loop;
+    RawServer m_server{ m_loop };
+    Client m_client{ m_loop };
+    std::unique_ptr<Exchange> m_exchange;
+    std::optional<kernel::Completion<kernel::Done>> m_end;
+    std::string m_body;
+    int m_status = 0;
+    bool m_sent = false;
+};
+
+} // namespace
+
+TEST_F(ClientFaults, AnAnswerWithoutALengthIsWholeOnlyAfterAnOrderlyEnd)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\nx-id: 7\r\n\r\nwhole");
+    m_server.close();
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    EXPECT_EQ(m_body, "whole");
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\nx-id: 7\r\n\r\nhalf");
+    m_loop.runUntil([&] { return m_body == "half"; }, patience);
+    m_server.reset();
+    EXPECT_EQ(end(), kernel::ResultCode::UpstreamBroken);
+}
+
+TEST_F(ClientFaults, AnAnswerToAnotherRequestIsNone)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\nx-id: 8\r\ncontent-length: 2\r\n\r\nok");
+    EXPECT_EQ(end(), kernel::ResultCode::UpstreamProtocol);
+    EXPECT_TRUE(m_body.empty());
+}
+
+TEST_F(ClientFaults, BytesThatAreNoAnswer)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send("\x01\x02garbage\r\n\r\n");
+    EXPECT_EQ(end(), kernel::ResultCode::UpstreamProtocol);
+    EXPECT_TRUE(m_sent);
+}
+
+TEST_F(ClientFaults, AConnectionWithExtraBytesIsNotUsedAgain)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send(whole + whole);
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    EXPECT_EQ(m_body, "ok");
+    send();
+    m_server.awaitRequest();
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaults, BytesThatComeWhileAConnectionIsIdleEndIt)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send(whole);
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    m_server.send(whole);
+    m_loop.runUntil([] { return false; }, 50ms);
+    send();
+    m_server.awaitRequest();
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaults, AConnectionIsKeptForTheNextRequest)
+{
+    for (int i = 0; i < 3; ++i) {
+        send();
+        m_server.awaitRequest();
+        m_server.send(whole);
+        EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    }
+    EXPECT_EQ(m_server.connections(), 1U);
+    send(0s);
+    m_server.awaitRequest();
+    EXPECT_EQ(m_server.connections(), 2U) << "no idle connection is allowed";
+}
+
+TEST_F(ClientFaults, AConnectionThatIsToCloseIsNotKept)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\nx-id: 7\r\nconnection: close\r\ncontent-length: 2\r\n\r\nok");
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    send();
+    m_server.awaitRequest();
+    EXPECT_EQ(m_server.connections(), 2U);
+}
+
+TEST_F(ClientFaults, AResetBeforeAnyByteMayHaveRun)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.reset();
+    EXPECT_EQ(end(), kernel::ResultCode::UpstreamBroken);
+    EXPECT_TRUE(m_sent);
+}
+
+TEST_F(ClientFaults, AnExchangeMayBeDroppedWithinItsOwnHandlers)
+{
+    ClientRequest request{ .endpoint = m_server.endpoint() };
+    bool dropped = false;
+    m_exchange = m_client.send(request, { .onHead = [&](const ClientHead &) {
+                                             m_exchange = nullptr;
+                                             dropped = true;
+                                         },
+                                          .onBody = [&](std::string_view) { ADD_FAILURE(); } });
+    m_server.awaitRequest();
+    m_server.send(whole);
+    EXPECT_TRUE(m_loop.runUntil([&] { return dropped; }, patience));
+    m_loop.runUntil([] { return false; }, 20ms);
+}
--- /dev/null
+++ b/src/framework/http/tests/rawserver.cpp
@@ -0,0 +1,76 @@
+#include "http/tests/rawserver.h"
+
+#include <array>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "http/internal/address.h"
+
+namespace acaciasail::http::tests {
+
+namespace {
+
+constexpr std::chrono::seconds patience{ 5 };
+
+} // namespace
+
+RawServer::RawServer(EventLoop &loop)
+    : m_loop(loop)
+{
+    const auto fd = kernel::capture([] { return openListener({ "127.0.0.1", 0 }); });
+    m_listener = fd.value();
+    SocketAddress bound;
+    bound.length = sizeof bound.storage;
+    getsockname(m_listener, bound.get(), &bound.length);
+    m_endpoint = toEndpoint(bound);
+}
+
+RawServer::~RawServer()
+{
+    close();
+    ::close(m_listener);
+}
+
+std::string RawServer::awaitRequest()
+{
+    std::string received;
+    m_loop.runUntil(
+        [&] {
+            const int fd = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+            if (fd >= 0) {
+                close();
+                m_connection = fd;
+                ++m_accepted;
+            }
+            std::array<char, 4096> buffer{};
+            ssize_t count = 0;
+            while (m_connection >= 0
+                   && (count = recv(m_connection, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
+                received.append(buffer.data(), static_cast<std::size_t>(count));
+            return received.find("\r\n\r\n") != std::string::npos;
+        },
+        patience);
+    return received;
+}
+
+void RawServer::send(std::string_view bytes)
+{
+    (void) !::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+void RawServer::close()
+{
+    if (m_connection >= 0)
+        ::close(std::exchange(m_connection, -1));
+}
+
+void RawServer::reset()
+{
+    const linger now{ 1, 0 };
+    setsockopt(m_connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    close();
+}
+
+} // namespace acaciasail::http::tests
