--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -1,11 +1,9 @@
 #include "router/router.h"
 
-#include <optional>
 #include <utility>
 
 #include <sys/stat.h>
 
-#include "platform/adapter.h"
 #include "platform/requestwire.h"
 
 namespace acaciasail::router {
@@ -19,16 +17,6 @@
 // What is left of the stop's time for the process's own end.
 constexpr kernel::Duration stopMargin = std::chrono::milliseconds(400);
 
-// Changes whenever the file is replaced or written; 0 where it can't be read.
-struct FileStamp
-{
-    ino_t inode = 0;
-    off_t size = 0;
-    std::int64_t changedNs = 0;
-
-    friend bool operator==(const FileStamp &, const FileStamp &) = default;
-};
-
 FileStamp stampOf(const std::string &file)
 {
     constexpr std::int64_t nsPerSecond = 1'000'000'000;
@@ -40,53 +28,17 @@
              info.st_mtim.tv_sec * nsPerSecond + info.st_mtim.tv_nsec };
 }
 
-// The process's parts and their way from start to stop.
-class Router
-{
-public:
-    Router(RouterSettings settings, std::string settingsFile)
-        : m_settings(std::move(settings))
-        , m_settingsFile(std::move(settingsFile))
-        , m_settingsStamp(stampOf(m_settingsFile))
-        , m_client(m_loop)
-        , m_adapter(sender(), m_loop.scheduler(), m_settings.store, kernel::systemRandom())
-        , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding,
-                      kernel::systemRandom())
-    {}
-    Router(const Router &) = delete;
-    Router &operator=(const Router &) = delete;
-
-    kernel::Result<void> start();
-    void run() { m_loop.run(); }
-
-private:
-    forwarding::HttpSender sender();
-    forwarding::ForwarderPorts makePorts();
-    kernel::Result<void> listen();
-    void answerReadiness(const std::shared_ptr<http::Responder> &responder);
-    bool ready();
-    void checkSettings();
-    void reload(std::string_view why);
-    void beginStop();
-    void checkStop();
+} // namespace
 
-    RouterSettings m_settings;
-    std::string m_settingsFile;
-    FileStamp m_settingsStamp;
-    http::EventLoop m_loop;
-    http::Client m_client;
-    platform::Adapter m_adapter;
-    forwarding::Forwarder m_forwarder;
-    std::unique_ptr<http::Server> m_callers;
-    std::unique_ptr<http::Server> m_readiness;
-    std::unique_ptr<http::Server> m_metrics;
-    std::optional<kernel::Instant> m_stoppingSince;
-    bool m_endingConnections = false;
-    std::uint64_t m_acceptedAtDrain = 0;
-    std::optional<bool> m_toldReady;
-    kernel::Timer m_settingsTimer;
-    kernel::Timer m_stopTimer;
-};
+Router::Router(http::EventLoop &loop, RouterSettings settings, std::string settingsFile)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_settingsFile(std::move(settingsFile))
+    , m_settingsStamp(stampOf(m_settingsFile))
+    , m_client(m_loop)
+    , m_adapter(sender(), m_loop.scheduler(), m_settings.store, kernel::systemRandom())
+    , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding, kernel::systemRandom())
+{}
 
 forwarding::HttpSender Router::sender()
 {
@@ -173,7 +125,7 @@
     return {};
 }
 
-bool Router::ready()
+bool Router::ready() const
 {
     return !m_stoppingSince && m_forwarder.canServe();
 }
@@ -198,7 +150,6 @@
         = kernel::Timer(m_loop.scheduler(), settingsCheckInterval, [this] { checkSettings(); });
 }
 
-// Takes what can change in a running process; a wrong file changes nothing.
 void Router::reload(std::string_view why)
 {
     m_settingsStamp = stampOf(m_settingsFile);
@@ -248,6 +199,7 @@
                              { { "in_progress", m_forwarder.inProgress() },
                                { "connections", m_callers->connections() },
                                { "took_ms", kernel::toMilliseconds(since) } });
+            m_stopped = true;
             m_loop.stop();
             return;
         }
@@ -255,15 +207,14 @@
     m_stopTimer = kernel::Timer(m_loop.scheduler(), drainCheckInterval, [this] { checkStop(); });
 }
 
-} // namespace
-
 kernel::Result<void> runRouter(const RouterSettings &settings, const std::string &settingsFile)
 {
     kernel::openEventLog(settings.log);
     const kernel::ScopeGuard closeLog([] { kernel::closeEventLog(); });
-    Router router(settings, settingsFile);
+    http::EventLoop loop;
+    Router router(loop, settings, settingsFile);
     BOOST_LEAF_CHECK(router.start());
-    router.run();
+    loop.run();
     kernel::logEvent(kernel::EventId::DaemonStopped, {});
     return {};
 }
--- /dev/null
+++ b/src/app/router/tests/router_tests.cpp
@@ -0,0 +1,283 @@
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <gtest/gtest.h>
+
+#include <unistd.h>
+
+#include "platform/testing/runnerstandin.h"
+#include "platform/testing/storestandin.h"
+#include "router/router.h"
+
+using namespace acaciasail;
+using namespace acaciasail::router;
+using acaciasail::platform::testing::RunnerStandin;
+using acaciasail::platform::testing::StoreStandin;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::chrono::seconds patience{ 10 };
+
+Json route(const std::string &name, const std::string &kind, const std::string &service)
+{
+    return { { "Name", name },       { "Host", "site.example" }, { "PathPrefix", "/" + name + "/" },
+             { "Kind", kind },       { "TimeoutMs", 5000 },      { "TargetLatencyMs", 500 },
+             { "Priority", 0 },      { "Service", service },     { "MaxAttempts", 3 },
+             { "Anonymous", false }, { "Resumable", true } };
+}
+
+// A router between a caller, a store and runners, all on one loop.
+class RouterTest : public ::testing::Test
+{
+protected:
+    RouterTest()
+        : m_store(m_loop, { "127.0.0.1", 0 })
+        , m_client(m_loop)
+        , m_router(m_loop, settings(), "")
+    {}
+
+    RouterSettings settings() const
+    {
+        RouterSettings result;
+        result.callersListen = { "127.0.0.1", 0 };
+        result.readinessListen = { "127.0.0.1", 0 };
+        result.store = m_store.endpoint();
+        result.maxConnections = 100;
+        result.stopTimeout = 3s;
+        result.balancerDelay = 100ms;
+        result.forwarding.vm = kernel::VmId("vm-1");
+        result.forwarding.retries = { 0.9, 500, 10s };
+        return result;
+    }
+
+    void start()
+    {
+        m_store.put("config", "main",
+                    { { "Version", 1 },
+                      { "Routes", { route("desk", "unsafe", "desk"), route("chat", "streaming", "engines") } },
+                      { "Limits", { { "MaxBodyBytes", 100000 }, { "IdleTimeoutMs", 15000 } } },
+                      { "Tenants", { { { "Name", "makers" }, { "ApiKeys", { "key" } } } } } });
+        ASSERT_TRUE(kernel::capture([this] { return m_router.start(); }).ok());
+    }
+
+    void addRunner(const std::string &id, const std::string &service)
+    {
+        m_runners.push_back(std::make_unique<RunnerStandin>(m_loop,
+                                                            kernel::Endpoint{ "127.0.0.1", 0 }, id));
+        m_store.put("servers", id,
+                    { { "Service", service },
+                      { "Address", kernel::toString(m_runners.back()->endpoint()) },
+                      { "Zone", "z" },
+                      { "Version", "v1" },
+                      { "Slots", 4 },
+                      { "State", "ready" } });
+    }
+
+    http::ClientRequest ask(const std::string &path, const std::string &id) const
+    {
+        http::ClientRequest request;
+        request.endpoint = m_router.callersEndpoint();
+        request.method = "POST";
+        request.host = "site.example";
+        request.path = path;
+        request.body = "body";
+        request.headers = { { "x-attempt-id", id }, { "x-deadline-ms", "4000" }, { "api-key", "key" } };
+        return request;
+    }
+
+    std::optional<kernel::Completion<http::ClientResponse>> fetch(const http::ClientRequest &request)
+    {
+        std::optional<kernel::Completion<http::ClientResponse>> result;
+        m_client.fetch(request, [&](kernel::Completion<http::ClientResponse> outcome) {
+            result = std::move(outcome);
+        });
+        m_loop.runUntil([&] { return result.has_value(); }, patience);
+        return result;
+    }
+
+    int status(const http::ClientRequest &request)
+    {
+        const auto outcome = fetch(request);
+        return outcome && outcome->ok() ? outcome->value().head.status : 0;
+    }
+
+    int readiness()
+    {
+        http::ClientRequest request;
+        request.endpoint = m_router.readinessEndpoint();
+        return status(request);
+    }
+
+    bool untilServing(std::size_t upstreams)
+    {
+        return m_loop.runUntil(
+            [&] {
+                return m_router.ready()
+                    && m_router.forwarder().state().directory.upstreams.size() == upstreams;
+            },
+            patience);
+    }
+
+    http::EventLoop m_loop;
+    StoreStandin m_store;
+    http::Client m_client;
+    Router m_router;
+    std::vector<std::unique_ptr<RunnerStandin>> m_runners;
+};
+
+} // namespace
+
+TEST_F(RouterTest, ServesOnceItKnowsEnough)
+{
+    start();
+    EXPECT_EQ(readiness(), 503);
+    addRunner("d1", "desk");
+    ASSERT_TRUE(untilServing(1));
+    EXPECT_EQ(readiness(), 200);
+    const auto outcome = fetch(ask("/desk/x?y=1", "r1"));
+    ASSERT_TRUE(outcome && outcome->ok());
+    EXPECT_EQ(outcome->value().head.status, 200);
+    EXPECT_EQ(outcome->value().body, "answer to r1");
+    EXPECT_EQ(http::findHeader(outcome->value().head.headers, "x-response-stamp"), "stamp-d1");
+    EXPECT_EQ(http::findHeader(outcome->value().head.headers, "x-attempt-id"), "r1");
+    ASSERT_EQ(m_runners[0]->seen().size(), 1U);
+    const auto &seen = m_runners[0]->seen()[0];
+    EXPECT_EQ(seen.target, "/desk/x?y=1");
+    EXPECT_EQ(seen.body, "body");
+    EXPECT_EQ(seen.workspace, "makers");
+    EXPECT_EQ(seen.key, "");
+}
+
+TEST_F(RouterTest, RefusesStrangersAndUnknownRoutes)
+{
+    start();
+    addRunner("d1", "desk");
+    ASSERT_TRUE(untilServing(1));
+    EXPECT_EQ(status(ask("/other/x", "r1")), 404);
+    http::ClientRequest stranger = ask("/desk/x", "r2");
+    stranger.headers.back().value = "wrong";
+    EXPECT_EQ(status(stranger), 401);
+    http::ClientRequest large = ask("/desk/x", "r3");
+    large.body.assign(200000, 'x');
+    EXPECT_EQ(status(large), 413);
+    EXPECT_TRUE(m_runners[0]->seen().empty());
+}
+
+TEST_F(RouterTest, AStreamSurvivesItsRunner)
+{
+    start();
+    addRunner("e1", "engines");
+    addRunner("e2", "engines");
+    ASSERT_TRUE(untilServing(2));
+    for (const auto &runner : m_runners)
+        runner->mood().breakEvery = 2;
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "s" + std::to_string(i);
+        const auto outcome = fetch(ask("/chat/x", id));
+        ASSERT_TRUE(outcome && outcome->ok());
+        std::string expected;
+        for (int number = 1; number <= 5; ++number)
+            expected += RunnerStandin::event(id, number);
+        EXPECT_EQ(outcome->value().body, expected);
+    }
+}
+
+TEST_F(RouterTest, AWithdrawnKeyIsRefusedWithinAMoment)
+{
+    start();
+    addRunner("d1", "desk");
+    ASSERT_TRUE(untilServing(1));
+    EXPECT_EQ(status(ask("/desk/x", "r1")), 200);
+    Json next = m_store.object("config", "main")["Spec"];
+    next["Version"] = 2;
+    next["Tenants"][0]["ApiKeys"] = { "another" };
+    m_store.put("config", "main", next);
+    ASSERT_TRUE(m_loop.runUntil(
+        [&] { return m_router.forwarder().state().directory.configuration->number.count() == 2; },
+        patience));
+    EXPECT_EQ(status(ask("/desk/x", "r2")), 401);
+}
+
+TEST_F(RouterTest, AGracefulStopFinishesWhatIsInProgress)
+{
+    start();
+    addRunner("d1", "desk");
+    ASSERT_TRUE(untilServing(1));
+    m_runners[0]->mood().work = 500ms;
+    std::optional<kernel::Completion<http::ClientResponse>> result;
+    m_client.fetch(ask("/desk/x", "r1"), [&](kernel::Completion<http::ClientResponse> outcome) {
+        result = std::move(outcome);
+    });
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_runners[0]->seen().size() == 1; }, patience));
+    m_router.beginStop();
+    EXPECT_EQ(readiness(), 503) << "not ready at once";
+    EXPECT_FALSE(m_router.stopped());
+    ASSERT_TRUE(m_loop.runUntil([&] { return result.has_value(); }, patience));
+    ASSERT_TRUE(result->ok());
+    EXPECT_EQ(result->value().head.status, 200);
+    EXPECT_TRUE(m_loop.runUntil([&] { return m_router.stopped(); }, patience));
+}
+
+TEST_F(RouterTest, RequestsThatCantBeFinishedAreRefusedWhileItStops)
+{
+    start();
+    addRunner("d1", "desk");
+    ASSERT_TRUE(untilServing(1));
+    m_runners[0]->mood().work = 1000ms;
+    std::optional<kernel::Completion<http::ClientResponse>> first;
+    m_client.fetch(ask("/desk/x", "r1"), [&](kernel::Completion<http::ClientResponse> outcome) {
+        first = std::move(outcome);
+    });
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_runners[0]->seen().size() == 1; }, patience));
+    m_router.beginStop();
+    m_loop.runUntil([] { return false; }, 200ms);
+    const auto refused = fetch(ask("/desk/x", "r2"));
+    ASSERT_TRUE(refused && refused->ok());
+    EXPECT_EQ(refused->value().head.status, 503);
+    EXPECT_TRUE(http::findHeader(refused->value().head.headers, "retry-after"));
+    EXPECT_EQ(m_runners[0]->seen().size(), 1U) << "a refused request never runs";
+    ASSERT_TRUE(m_loop.runUntil([&] { return first.has_value(); }, patience));
+    EXPECT_TRUE(first->ok() && first->value().head.status == 200) << "the one before it goes on";
+}
+
+TEST_F(RouterTest, AWrongSettingsFileChangesNothing)
+{
+    const std::string file = ::testing::TempDir() + "router-" + std::to_string(getpid()) + ".toml";
+    const auto write = [&](const std::string &text) { std::ofstream(file) << text; };
+    const std::string good = "[router]\nvm = \"a\"\ndata_centre = \"dc\"\n"
+                             "[callers]\nlisten = \"127.0.0.1:1\"\n"
+                             "[readiness]\nlisten = \"127.0.0.1:2\"\n"
+                             "[store]\naddress = \"127.0.0.1:3\"\n";
+    Router router(m_loop, settings(), file);
+    write(good + "[models]\nescalate_below = 10\n");
+    router.reload("test");
+    EXPECT_EQ(router.settings().forwarding.models.escalateBelow, 10);
+    write(good + "[models]\nescalate_below = 1000\n");
+    router.reload("test");
+    EXPECT_EQ(router.settings().forwarding.models.escalateBelow, 10);
+    write("no toml [");
+    router.reload("test");
+    EXPECT_EQ(router.settings().forwarding.models.escalateBelow, 10);
+    std::remove(file.c_str());
+}
+
+TEST(RouterSettingsTest, NamesEachMistake)
+{
+    auto reader = kernel::capture([] {
+        return settings::Reader::parse("[router]\nvm = 3\n[callers]\nlisten = \"here\"\n"
+                                       "[retries]\nratio = -1\n[typo]\nx = 1\n",
+                                       "r.toml");
+    });
+    ASSERT_TRUE(reader.ok());
+    const CheckedRouterSettings checked = readRouterSettings(reader.value());
+    std::vector<std::string> keys;
+    for (const settings::Mistake &mistake : checked.mistakes)
+        keys.push_back(mistake.key);
+    for (const char *key : { "router.vm", "router.data_centre", "callers.listen", "readiness.listen",
+                             "store.address", "retries.ratio", "typo.x" })
+        EXPECT_NE(std::ranges::find(keys, key), keys.end()) << key;
+}
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -78,6 +78,12 @@
         h2o_socket_t *socket;
     };
 
+    struct InProgress
+    {
+        std::shared_ptr<H2oResponder> responder;
+        kernel::Instant since;
+    };
+
     Impl(EventLoop &eventLoop, ServerOptions serverOptions, RequestHandler requestHandler)
         : loop(eventLoop)
         , options(std::move(serverOptions))
@@ -105,8 +111,9 @@
     h2o_socket_t *listener = nullptr;
     kernel::Endpoint endpoint;
     std::unordered_set<Connection *> connections;
-    // Requests in progress, with the time of their arrival.
-    std::unordered_map<H2oResponder *, kernel::Instant> inProgress;
+    // Requests that are not answered whole. The server keeps their responders, so that a handler that
+    // drops one does not leave its request open.
+    std::unordered_map<H2oResponder *, InProgress> inProgress;
     kernel::Timer hangUpTimer;
     std::uint64_t accepted = 0;
 };
@@ -178,10 +185,16 @@
 int Server::Impl::onRequest(h2o_req_t *request)
 {
     const auto responder = std::make_shared<H2oResponder>(request);
+    if (!handler) {
+        // The server is ending, and nobody would answer.
+        responder->attach();
+        responder->abort();
+        return 0;
+    }
     H2oResponder *key = responder.get();
     responder->setOnEnd([this, key] { inProgress.erase(key); });
     responder->attach();
-    inProgress.emplace(key, loop.scheduler().now());
+    inProgress.emplace(key, InProgress{ responder, loop.scheduler().now() });
     handler(readRequest(request), responder);
     return 0;
 }
@@ -190,13 +203,20 @@
 {
     const kernel::Instant oldest = loop.scheduler().now() - hangUpCheckAge;
     std::vector<std::shared_ptr<H2oResponder>> waiting;
+    std::vector<std::shared_ptr<H2oResponder>> dropped;
     std::vector<pollfd> descriptors;
-    for (const auto &[responder, since] : inProgress) {
-        if (since > oldest || !responder->silentSinceLastCheck())
+    for (const auto &[key, entry] : inProgress) {
+        if (entry.since > oldest || !entry.responder->silentSinceLastCheck())
+            continue;
+        if (entry.responder.use_count() == 1) {
+            dropped.push_back(entry.responder);
             continue;
-        waiting.push_back(responder->shared_from_this());
-        descriptors.push_back({ responder->descriptor(), POLLRDHUP, 0 });
+        }
+        waiting.push_back(entry.responder);
+        descriptors.push_back({ entry.responder->descriptor(), POLLRDHUP, 0 });
     }
+    for (const auto &responder : dropped)
+        responder->abort();
     // One call for all connections; it reads nothing, so pipelined requests stay where they are.
     if (!descriptors.empty() && poll(descriptors.data(), descriptors.size(), 0) > 0) {
         for (std::size_t i = 0; i < waiting.size(); ++i) {
@@ -217,8 +237,8 @@
 void Server::Impl::closeConnections()
 {
     std::vector<std::shared_ptr<H2oResponder>> responders;
-    for (const auto &[responder, since] : inProgress)
-        responders.push_back(responder->shared_from_this());
+    for (const auto &[key, entry] : inProgress)
+        responders.push_back(entry.responder);
     for (const auto &responder : responders)
         responder->abort();
     constexpr int maxTurns = 100;
@@ -231,6 +251,7 @@
 
 Server::Impl::~Impl()
 {
+    handler = nullptr;
     closeListener();
     if (context.loop == nullptr)
         return;
@@ -295,7 +316,7 @@
 void Server::closeIdleConnections()
 {
     std::unordered_set<int> busy;
-    for (const auto &[responder, since] : m_impl->inProgress)
+    for (const auto &[responder, entry] : m_impl->inProgress)
         busy.insert(responder->descriptor());
     for (const Impl::Connection *connection : m_impl->connections) {
         const int fd = h2o_socket_get_fd(connection->socket);
--- a/src/framework/http/tests/server_tests.cpp
+++ b/src/framework/http/tests/server_tests.cpp
@@ -203,3 +203,62 @@
     const auto second = kernel::capture([&] { return Server::listen(m_loop, options, {}); });
     EXPECT_EQ(second.error().code, kernel::ResultCode::ListenFailed);
 }
+
+TEST_F(HttpServer, ADroppedResponderEndsItsRequest)
+{
+    bool handled = false;
+    serve([&](const ServerRequest &, const std::shared_ptr<Responder> &) { handled = true; });
+    RawConnection connection(m_loop, m_server->endpoint());
+    connection.send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    EXPECT_TRUE(connection.waitForClose());
+    EXPECT_TRUE(handled);
+    EXPECT_EQ(m_server->requestsInProgress(), 0U);
+}
+
+TEST_F(HttpServer, ACallerThatLeavesBeforeTheAnswerIsNoticed)
+{
+    std::shared_ptr<Responder> kept;
+    bool gone = false;
+    serve([&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+        kept = std::move(responder);
+        kept->whenClosed([&] { gone = true; });
+    });
+    RawConnection connection(m_loop, m_server->endpoint());
+    // A second request waits behind the first; its bytes hide the end from a plain look.
+    connection.send("GET / HTTP/1.1\r\nhost: x\r\n\r\nGET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(m_loop.runUntil([&] { return kept != nullptr; }, patience));
+    connection.close();
+    EXPECT_TRUE(m_loop.runUntil([&] { return gone; }, patience));
+}
+
+TEST_F(HttpServer, IdleConnectionsCanBeClosed)
+{
+    serve([](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+        responder->send(200, {}, "ok");
+    });
+    RawConnection connection(m_loop, m_server->endpoint());
+    connection.send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    connection.readUntil("ok");
+    m_server->closeIdleConnections();
+    EXPECT_TRUE(connection.waitForClose());
+    EXPECT_EQ(m_server->connectionsAccepted(), 1U);
+}
+
+TEST_F(HttpServer, AnAbortedAnswerEndsTheConnectionAndNothingElse)
+{
+    serve([](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+        responder->start(200, {});
+        responder->write("part");
+        responder->abort();
+    });
+    RawConnection connection(m_loop, m_server->endpoint());
+    connection.send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    EXPECT_TRUE(connection.waitForClose());
+    const std::string received = connection.readUntil("never");
+    EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos) << "it must not look complete";
+    const std::size_t body = received.find("\r\n\r\n");
+    if (body != std::string::npos) {
+        const std::string rest = received.substr(body + 4);
+        EXPECT_TRUE(std::string("4\r\npart\r\n").starts_with(rest)) << rest;
+    }
+}
