--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // An upstream may carry this many times the mean work before a key's requests go elsewhere.
-constexpr double affinityLoadFactor = 1.25;
+constexpr double affinityLoadFactor = 2.0;
 // Requests at an upstream of the same data centre above which others are considered.
 constexpr int nearRequests = 2;
 
