--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -13,6 +13,7 @@
 #include "forwarding/internal/forwarder.h"
 #include "forwarding/internal/job.h"
 #include "forwarding/internal/modelchoice.h"
+#include "forwarding/internal/patience.h"
 #include "forwarding/internal/retrybudget.h"
 #include "forwarding/internal/rolloutplan.h"
 #include "forwarding/internal/routematch.h"
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -30,12 +30,13 @@
 // again.
 constexpr kernel::Duration maxIdleUnsafe = std::chrono::milliseconds(300);
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
-// A silent upstream is given up after this multiple of the objective, if the request may be sent
-// elsewhere.
-constexpr double silentObjectives = 2.5;
-constexpr double silentPauses = 3;
-constexpr kernel::Duration minSilence = std::chrono::milliseconds(400);
-constexpr kernel::Duration minStreamSilence = std::chrono::seconds(2);
+// A silent upstream is given up, if the request may be sent elsewhere, after what is unusual within
+// these bounds: before the first byte in parts of the route's objective, later in parts of the pause
+// that is still on time.
+constexpr double leastSilentObjectives = 1.2;
+constexpr double mostSilentObjectives = 2.5;
+constexpr double leastSilentPauses = 1.0;
+constexpr double mostSilentPauses = 3;
 // Longest part of the time left that a connect may take.
 constexpr int connectPart = 3;
 constexpr double failureShareDecay = 0.02;
@@ -49,7 +50,7 @@
 constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
 constexpr int mostUrgent = 0;
 constexpr int leastUrgent = 9;
-constexpr int urgencyPerRank = 2;
+constexpr int urgencyPerRank = 3;
 
 kernel::Duration scaled(kernel::Duration duration, double factor)
 {
@@ -223,7 +224,7 @@
     facts.workspace = m_workspace;
     facts.timeLeft = timeLeft();
     facts.model = m_model;
-    facts.urgency = std::clamp(m_rank * urgencyPerRank + 1, mostUrgent, leastUrgent);
+    facts.urgency = 5;
     facts.resumeAfter = m_lastEventId;
     const bool mayBeLost = m_route.kind == RequestKind::Safe || m_route.resumable;
     facts.maxIdle = mayBeLost ? maxIdleSafe : maxIdleUnsafe;
@@ -267,10 +268,17 @@
 // The time for which an upstream may say nothing before the request goes elsewhere.
 kernel::Duration Job::silenceAllowed() const
 {
-    if (m_attempt && m_attempt->firstByteSeen)
-        return std::max(minStreamSilence, scaled(m_route.maxPause, silentPauses));
-    return std::max(minSilence,
-                    std::min(scaled(m_route.latencyObjective, silentObjectives), timeLeft() / 2));
+    const bool midway = m_attempt->firstByteSeen;
+    const auto &times = midway ? m_state.usual.betweenEvents : m_state.usual.firstByte;
+    const auto known = times.find({ m_route.name, m_attempt->model });
+    const UsualTime *usual = known == times.end() ? nullptr : &known->second;
+    if (midway) {
+        return patienceFor(usual, { scaled(m_route.maxPause, leastSilentPauses),
+                                    scaled(m_route.maxPause, mostSilentPauses) });
+    }
+    const kernel::Duration most
+        = std::min(scaled(m_route.latencyObjective, mostSilentObjectives), timeLeft() / 2);
+    return patienceFor(usual, { scaled(m_route.latencyObjective, leastSilentObjectives), most });
 }
 
 void Job::armSilence(kernel::Duration delay)
@@ -315,6 +323,8 @@
         failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
         return;
     }
+    noteTime(m_state.usual.firstByte[{ m_route.name, m_attempt->model }],
+             m_attempt->lastActivity - m_attempt->begun);
     m_attempt->head = std::move(head);
     if (m_attempt->head->status < firstErrorStatus && !m_attempts.answerBegun && escalate())
         return;
@@ -352,7 +362,11 @@
 void Job::onBody(std::string_view piece)
 {
     const auto self = shared_from_this();
-    m_attempt->lastActivity = m_state.scheduler.now();
+    const kernel::Instant at = m_state.scheduler.now();
+    if (m_attempt->firstByteSeen)
+        noteTime(m_state.usual.betweenEvents[{ m_route.name, m_attempt->model }],
+                 at - m_attempt->lastActivity);
+    m_attempt->lastActivity = at;
     const AnswerHead &head = *m_attempt->head;
     if (!head.events || head.status >= firstErrorStatus) {
         m_attempt->body.append(piece);
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -7,6 +7,7 @@
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
 #include "forwarding/internal/modelchoice.h"
+#include "forwarding/internal/patience.h"
 #include "forwarding/internal/retrybudget.h"
 #include "forwarding/internal/rolloutplan.h"
 #include "forwarding/internal/upstreamchoice.h"
@@ -32,7 +33,7 @@
     RetryBounds retries;
     ModelRules models;
     /// Longest wait for a connection to an upstream.
-    kernel::Duration connectTimeout = std::chrono::milliseconds(1000);
+    kernel::Duration connectTimeout = std::chrono::milliseconds(300);
 };
 
 /// Counters and times of the flow.
@@ -64,6 +65,7 @@
 
     Directory directory;
     UpstreamRecords records;
+    UsualTimes usual;
     std::map<kernel::ServiceName, RetryBudget> budgets;
     /// Share of failures of each service's answers, with decay.
     std::map<kernel::ServiceName, double> failureShares;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -20,6 +20,7 @@
 constexpr int consecutiveFailuresToAvoid = 4;
 constexpr kernel::Duration firstAvoidance = std::chrono::seconds(2);
 constexpr int maxAvoidanceDoublings = 3;
+// An upstream whose connections break is tried again after this, and each time later.
 constexpr kernel::Duration brokenAvoidance = std::chrono::milliseconds(500);
 constexpr kernel::Duration fullAvoidance = std::chrono::milliseconds(100);
 
@@ -119,7 +120,10 @@
     for (const Upstream *upstream : candidates) {
         if (query.exclude != nullptr && query.exclude->contains(upstream->id))
             continue;
-        const bool avoid = recordOf(records, *upstream).avoidUntil > query.now;
+        const UpstreamRecord &record = recordOf(records, *upstream);
+        // One that comes back gets a single request until that has a good answer.
+        const bool onTrial = record.ejections > 0 && record.inFlight > 0;
+        const bool avoid = record.avoidUntil > query.now || onTrial;
         (avoid ? avoided : open).push_back(upstream);
     }
     if (open.empty()) {
@@ -158,20 +162,21 @@
     ++record.recentRequests;
     if (!failed) {
         record.consecutiveFailures = 0;
-        if (record.avoidUntil <= now)
-            record.ejections = 0;
+        record.ejections = 0;
         return false;
     }
     ++record.consecutiveFailures;
-    if (outcome == RunOutcome::Broken)
-        record.avoidUntil = std::max(record.avoidUntil, now + brokenAvoidance);
     const bool oftenFailing = record.recentRequests >= minRequestsToJudge
         && record.failureShare > failureShareToAvoid
         && record.failureShare > failureFactorToAvoid * serviceFailureShare;
-    if (!oftenFailing && record.consecutiveFailures < consecutiveFailuresToAvoid)
+    const bool broken = outcome == RunOutcome::Broken;
+    if (!broken && !oftenFailing && record.consecutiveFailures < consecutiveFailuresToAvoid)
+        return false;
+    // Several requests that end with the same breakdown count once.
+    if (record.avoidUntil > now)
         return false;
     const int doublings = std::min(record.ejections, maxAvoidanceDoublings);
-    record.avoidUntil = now + firstAvoidance * (1 << doublings);
+    record.avoidUntil = now + (broken ? brokenAvoidance : firstAvoidance) * (1 << doublings);
     ++record.ejections;
     record.consecutiveFailures = 0;
     record.failureShare = 0;
