--- a/bench/ledger/main.cpp
+++ b/bench/ledger/main.cpp
@@ -12,9 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "externals/testing/fakeplatform.h"
 #include "http/http.h"
 #include "ledger/ledger.h"
-#include "externals/testing/fakeplatform.h"
 #include "storewrites.h"
 #include "upstreams/upstreams.h"
 #include "wire/wire.h"
--- a/src/app/ctl/session.cpp
+++ b/src/app/ctl/session.cpp
@@ -31,7 +31,7 @@
 {
     if (options.platform) {
         m_platform = externals::makePlatform(m_client, m_loop.scheduler(),
-                                            { .endpoint = *options.platform });
+                                             { .endpoint = *options.platform });
     }
 }
 
--- a/src/app/ctl/session.h
+++ b/src/app/ctl/session.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "ctl/options.h"
+#include "externals/externals.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "externals/externals.h"
 
 namespace acaciasail::ctl {
 
--- a/src/app/daemon/findingsmodule.cpp
+++ b/src/app/daemon/findingsmodule.cpp
@@ -6,10 +6,10 @@
 #include "daemon/daemon.h"
 #include "daemon/findings.h"
 #include "daemon/modules.h"
+#include "externals/externals.h"
 #include "gateway/gateway.h"
 #include "http/http.h"
 #include "peers/peers.h"
-#include "externals/externals.h"
 #include "routing/routing.h"
 
 namespace acaciasail::daemon {
--- a/src/app/daemon/gatewaymodule.cpp
+++ b/src/app/daemon/gatewaymodule.cpp
@@ -1,11 +1,11 @@
 #include "daemon/daemon.h"
 #include "daemon/findings.h"
 #include "daemon/modules.h"
+#include "externals/externals.h"
 #include "gateway/gateway.h"
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "peers/peers.h"
-#include "externals/externals.h"
 #include "table/table.h"
 #include "wire/wire.h"
 
--- a/src/app/daemon/ledgermodule.cpp
+++ b/src/app/daemon/ledgermodule.cpp
@@ -1,9 +1,9 @@
 #include "daemon/daemon.h"
 #include "daemon/modules.h"
+#include "externals/externals.h"
 #include "http/http.h"
 #include "ledger/ledger.h"
 #include "peers/peers.h"
-#include "externals/externals.h"
 #include "wire/wire.h"
 
 namespace acaciasail::daemon {
--- a/src/app/daemon/peersmodule.cpp
+++ b/src/app/daemon/peersmodule.cpp
@@ -2,9 +2,9 @@
 
 #include "daemon/daemon.h"
 #include "daemon/modules.h"
+#include "externals/externals.h"
 #include "http/http.h"
 #include "peers/peers.h"
-#include "externals/externals.h"
 #include "table/table.h"
 #include "wire/wire.h"
 
--- a/src/app/daemon/tablemodule.cpp
+++ b/src/app/daemon/tablemodule.cpp
@@ -1,7 +1,7 @@
 #include "daemon/daemon.h"
 #include "daemon/modules.h"
-#include "http/http.h"
 #include "externals/externals.h"
+#include "http/http.h"
 #include "table/table.h"
 
 namespace acaciasail::daemon {
--- a/src/app/router/main.cpp
+++ b/src/app/router/main.cpp
@@ -1,4 +1,5 @@
-// The router for deployments whose routes, keys and roll-outs the platform holds: acaciasail-router --settings FILE [--check-settings]
+// The router for deployments whose routes, keys and roll-outs the platform holds: acaciasail-router
+// --settings FILE [--check-settings]
 
 #include <cstdlib>
 #include <iostream>
@@ -77,7 +78,8 @@
         std::cout << options.settingsFile << ": settings are correct\n";
         return exitOk;
     }
-    const auto ended = kernel::capture([&] { return router::runRouter(checked.value().settings, options.settingsFile); });
+    const auto ended = kernel::capture(
+        [&] { return router::runRouter(checked.value().settings, options.settingsFile); });
     if (ended.ok())
         return exitOk;
     std::cerr << "acaciasail-router: " << ended.error().message << "\n";
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -24,8 +24,7 @@
     {};
     if (stat(file.c_str(), &info) != 0)
         return {};
-    return { info.st_ino, info.st_size,
-             info.st_mtim.tv_sec * nsPerSecond + info.st_mtim.tv_nsec };
+    return { info.st_ino, info.st_size, info.st_mtim.tv_sec * nsPerSecond + info.st_mtim.tv_nsec };
 }
 
 } // namespace
@@ -52,13 +51,14 @@
     forwarding::ForwarderPorts ports;
     ports.send = sender();
     ports.wire = platform::upstreamWire();
-    ports.writeRollout = [this](const forwarding::Rollout &rollout,
-                                const forwarding::RolloutStep &step) {
-        m_adapter.writeRollout(rollout, step);
-    };
+    ports.writeRollout
+        = [this](const forwarding::Rollout &rollout, const forwarding::RolloutStep &step) {
+              m_adapter.writeRollout(rollout, step);
+          };
     ports.onConfiguration = [this](const forwarding::Configuration &configuration) {
         if (m_callers)
-            m_callers->setLimits(configuration.limits.maxBodyBytes, configuration.limits.idleTimeout);
+            m_callers->setLimits(configuration.limits.maxBodyBytes,
+                                 configuration.limits.idleTimeout);
     };
     return ports;
 }
@@ -70,35 +70,32 @@
     callers.maxConnections = m_settings.maxConnections;
     BOOST_LEAF_ASSIGN(
         m_callers,
-        http::Server::listen(m_loop, callers,
-                             [this](const http::ServerRequest &request,
-                                    std::shared_ptr<http::Responder> responder) {
-                                 m_forwarder.handle(
-                                     platform::decodeRequest(request, m_loop.scheduler().now()),
-                                     std::move(responder));
-                             }));
+        http::Server::listen(
+            m_loop, callers,
+            [this](const http::ServerRequest &request, std::shared_ptr<http::Responder> responder) {
+                m_forwarder.handle(platform::decodeRequest(request, m_loop.scheduler().now()),
+                                   std::move(responder));
+            }));
     http::ServerOptions readiness;
     readiness.listen = m_settings.readinessListen;
-    BOOST_LEAF_ASSIGN(
-        m_readiness,
-        http::Server::listen(m_loop, readiness,
-                             [this](const http::ServerRequest &,
-                                    const std::shared_ptr<http::Responder> &responder) {
-                                 answerReadiness(responder);
-                             }));
+    BOOST_LEAF_ASSIGN(m_readiness, http::Server::listen(
+                                       m_loop, readiness,
+                                       [this](const http::ServerRequest &,
+                                              const std::shared_ptr<http::Responder> &responder) {
+                                           answerReadiness(responder);
+                                       }));
     if (m_settings.metricsListen.ip.empty())
         return {};
     http::ServerOptions metrics;
     metrics.listen = m_settings.metricsListen;
     BOOST_LEAF_ASSIGN(
         m_metrics,
-        http::Server::listen(m_loop, metrics,
-                             [this](const http::ServerRequest &,
-                                    const std::shared_ptr<http::Responder> &responder) {
-                                 responder->send(httpOk,
-                                                 { { "content-type", "text/plain; version=0.0.4" } },
-                                                 m_forwarder.metrics().text());
-                             }));
+        http::Server::listen(
+            m_loop, metrics,
+            [this](const http::ServerRequest &, const std::shared_ptr<http::Responder> &responder) {
+                responder->send(httpOk, { { "content-type", "text/plain; version=0.0.4" } },
+                                m_forwarder.metrics().text());
+            }));
     return {};
 }
 
@@ -136,7 +133,8 @@
     if (m_toldReady != isReady) {
         m_toldReady = isReady;
         const char *why = isReady ? "serving" : m_stoppingSince ? "stopping" : "no configuration";
-        kernel::logEvent(kernel::EventId::ReadinessChanged, { { "ready", isReady }, { "why", why } });
+        kernel::logEvent(kernel::EventId::ReadinessChanged,
+                         { { "ready", isReady }, { "why", why } });
     }
     responder->send(isReady ? httpOk : httpUnavailable, {}, "");
 }
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -28,17 +28,17 @@
 {
     options.vm = kernel::VmId(reader.requiredText("router.vm"));
     options.dataCentre = kernel::DataCentreId(reader.requiredText("router.data_centre"));
-    options.connectTimeout = reader.milliseconds("upstreams.connect_timeout_ms",
-                                                 options.connectTimeout, { 10, minuteMilliseconds });
+    options.connectTimeout = reader.milliseconds(
+        "upstreams.connect_timeout_ms", options.connectTimeout, { 10, minuteMilliseconds });
     options.retries.ratio
         = readNumber(reader, "retries.ratio", options.retries.ratio, maxRetryRatio);
     constexpr double maxSlack = 1e6;
     options.retries.slack = readNumber(reader, "retries.slack", options.retries.slack, maxSlack);
-    options.retries.window = readSeconds(reader, "retries.window_s",
-                                         kernel::toSeconds(options.retries.window));
+    options.retries.window
+        = readSeconds(reader, "retries.window_s", kernel::toSeconds(options.retries.window));
     constexpr int mostConfident = 101;
-    options.models.escalateBelow = static_cast<int>(
-        reader.integer("models.escalate_below", options.models.escalateBelow, { 0, mostConfident }));
+    options.models.escalateBelow = static_cast<int>(reader.integer(
+        "models.escalate_below", options.models.escalateBelow, { 0, mostConfident }));
     options.models.escalateBelowForAnswer = static_cast<int>(
         reader.integer("models.escalate_below_for_answer", options.models.escalateBelowForAnswer,
                        { 0, mostConfident }));
--- a/src/externals/internal/httpplatform.h
+++ b/src/externals/internal/httpplatform.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "externals/internal/interfaces.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "externals/internal/interfaces.h"
 
 namespace acaciasail::externals {
 
--- a/src/externals/internal/replies.h
+++ b/src/externals/internal/replies.h
@@ -4,9 +4,9 @@
 #include <string_view>
 #include <vector>
 
+#include "externals/internal/interfaces.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
-#include "externals/internal/interfaces.h"
 
 namespace acaciasail::externals {
 
--- a/src/forwarding/internal/crashlist.cpp
+++ b/src/forwarding/internal/crashlist.cpp
@@ -11,9 +11,8 @@
 
 void forgetOldest(CrashList &list)
 {
-    const auto oldest = std::ranges::min_element(list.entries, {}, [](const auto &item) {
-        return item.second.lastSeen;
-    });
+    const auto oldest = std::ranges::min_element(
+        list.entries, {}, [](const auto &item) { return item.second.lastSeen; });
     list.entries.erase(oldest);
 }
 
@@ -41,7 +40,7 @@
 {
     const auto found = list.entries.find(fingerprint);
     return found != list.entries.end() && found->second.crashes >= maxCrashes
-        && now - found->second.lastSeen < memory;
+           && now - found->second.lastSeen < memory;
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -53,9 +53,8 @@
 
 void Forwarder::handle(Request request, std::shared_ptr<http::Responder> responder)
 {
-    const auto job
-        = std::make_shared<Job>(m_state, std::move(request), std::move(responder),
-                                [this](const Job *done) { m_jobs.erase(done); });
+    const auto job = std::make_shared<Job>(m_state, std::move(request), std::move(responder),
+                                           [this](const Job *done) { m_jobs.erase(done); });
     m_jobs.emplace(job.get(), job);
     job->start();
 }
@@ -197,8 +196,8 @@
     }
     if (askAt == kernel::Instant{} && !evidence.condemned) {
         askAt = now
-            + rolloutAskSpread
-                * static_cast<int>(kernel::hash64(m_state.options.vm.str()) % rolloutAskers);
+                + rolloutAskSpread
+                      * static_cast<int>(kernel::hash64(m_state.options.vm.str()) % rolloutAskers);
     }
     if (now < askAt)
         return;
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -43,8 +43,8 @@
     void dropRollout(const kernel::ServiceName &service);
     void setStoreReachable(bool reachable);
 
-    /// Refuses new requests that may not be finished by then; those in progress go on. `alone` tells
-    /// that callers find no other daemon until this one is back.
+    /// Refuses new requests that may not be finished by then; those in progress go on. `alone`
+    /// tells that callers find no other daemon until this one is back.
     void endBy(kernel::Instant end, bool alone);
     /// Changes the settings that can change while it runs.
     void setOptions(const ForwardingOptions &options);
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -31,8 +31,8 @@
 constexpr kernel::Duration maxIdleUnsafe = std::chrono::milliseconds(300);
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
 // A silent upstream is given up, if the request may be sent elsewhere, after what is unusual within
-// these bounds: before the first byte in parts of the route's objective, later in parts of the pause
-// that is still on time.
+// these bounds: before the first byte in parts of the route's objective, later in parts of the
+// pause that is still on time.
 constexpr double leastSilentObjectives = 1.2;
 constexpr double mostSilentObjectives = 2.5;
 constexpr double leastSilentPauses = 1.0;
@@ -48,9 +48,6 @@
 constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
 // From a process's end until it takes requests again.
 constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
-constexpr int mostUrgent = 0;
-constexpr int leastUrgent = 9;
-constexpr int urgencyPerRank = 3;
 
 kernel::Duration scaled(kernel::Duration duration, double factor)
 {
@@ -78,9 +75,11 @@
     });
     if (!accept())
         return;
-    m_end = m_request.arrived + std::min(m_request.patience.value_or(m_route.timeout), m_route.timeout)
-        - answerMargin;
-    m_deadline = kernel::Timer(m_state.scheduler, m_end - m_request.arrived, [this] { onDeadline(); });
+    m_end = m_request.arrived
+            + std::min(m_request.patience.value_or(m_route.timeout), m_route.timeout)
+            - answerMargin;
+    m_deadline
+        = kernel::Timer(m_state.scheduler, m_end - m_request.arrived, [this] { onDeadline(); });
     noteRequest(m_state.budgets[m_service], m_state.options.retries, now());
     tryNext();
 }
@@ -129,8 +128,8 @@
         m_model = firstModel(m_route, *m_request.work);
     }
     const double point = m_session.empty()
-        ? kernel::uniform01(m_state.random)
-        : static_cast<double>(kernel::hash64(m_session) >> 11U) * 0x1.0p-53;
+                             ? kernel::uniform01(m_state.random)
+                             : static_cast<double>(kernel::hash64(m_session) >> 11U) * 0x1.0p-53;
     const kernel::ServiceName *service = pickService(m_route, point);
     if (service == nullptr) {
         refuse(unavailable, "route_without_service", std::chrono::seconds(1));
@@ -138,9 +137,8 @@
     }
     m_service = *service;
     m_attempts = { m_route.kind, m_route.resumable, m_route.maxAttempts };
-    m_fingerprint = kernel::hash64(m_request.body,
-                                   kernel::hash64(m_request.target,
-                                                  kernel::hash64(m_workspace.str())));
+    m_fingerprint = kernel::hash64(
+        m_request.body, kernel::hash64(m_request.target, kernel::hash64(m_workspace.str())));
     if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
         kernel::logEvent(kernel::EventId::PoisonRefused,
                          { { "request", m_request.id }, { "route", m_route.name } });
@@ -210,8 +208,8 @@
     attempt.upstream = upstream.id;
     attempt.endpoint = upstream.endpoint;
     attempt.version = upstream.version;
-    attempt.onTarget = rollout != m_state.directory.rollouts.end()
-        && rollout->second.target == upstream.version;
+    attempt.onTarget
+        = rollout != m_state.directory.rollouts.end() && rollout->second.target == upstream.version;
     attempt.model = m_model;
     attempt.work = m_request.work ? expectedWork(*m_request.work) : 1;
     attempt.begun = now();
@@ -224,7 +222,7 @@
     facts.workspace = m_workspace;
     facts.timeLeft = timeLeft();
     facts.model = m_model;
-    facts.urgency = 5;
+    facts.urgency = engineUrgency(m_route.rank, m_rank);
     facts.resumeAfter = m_lastEventId;
     const bool mayBeLost = m_route.kind == RequestKind::Safe || m_route.resumable;
     facts.maxIdle = mayBeLost ? maxIdleSafe : maxIdleUnsafe;
@@ -250,9 +248,8 @@
     handlers.onSent = [this] { onSent(); };
     handlers.onHead = [this](const http::ClientHead &head) { onHead(head); };
     handlers.onBody = [this](std::string_view piece) { onBody(piece); };
-    handlers.onEnd = [this](const kernel::Completion<kernel::Done> &outcome) {
-        onExchangeEnd(outcome);
-    };
+    handlers.onEnd
+        = [this](const kernel::Completion<kernel::Done> &outcome) { onExchangeEnd(outcome); };
     m_exchange = m_state.send(m_state.wire.encode(m_request, facts), std::move(handlers));
 }
 
@@ -336,13 +333,12 @@
     if (!m_request.work || m_escalated || !mayRepeat(m_attempts))
         return false;
     const kernel::Instant objectiveEnd = m_request.arrived + m_route.latencyObjective;
-    const std::string larger
-        = escalateTo(m_route, m_state.options.models, *m_request.work, m_model,
-                     m_attempt->head->confidence,
-                     m_attempts.maxAttempts - m_attempts.sent,
-                     objectiveEnd - m_state.scheduler.now());
+    const std::string larger = escalateTo(
+        m_route, m_state.options.models, *m_request.work, m_model, m_attempt->head->confidence,
+        m_attempts.maxAttempts - m_attempts.sent, objectiveEnd - m_state.scheduler.now());
     if (larger.empty()
-        || !takeRepeat(m_state.budgets[m_service], m_state.options.retries, m_state.scheduler.now()))
+        || !takeRepeat(m_state.budgets[m_service], m_state.options.retries,
+                       m_state.scheduler.now()))
         return false;
     kernel::logEvent(kernel::EventId::CascadeEscalated,
                      { { "request", m_request.id },
@@ -509,16 +505,16 @@
 {
     const auto self = shared_from_this();
     m_state.metrics.attempts(toString(failure)).add();
-    kernel::logEvent(kernel::EventId::AttemptFailed,
-                     { { "request", m_request.id },
-                       { "route", m_route.name },
-                       { "upstream", m_attempt->upstream },
-                       { "failure", toString(failure) },
-                       { "detail", detail },
-                       { "send", m_attempts.sent },
-                       { "may_have_run", m_attempts.mayHaveRun },
-                       { "took_ms", kernel::toMilliseconds(m_state.scheduler.now()
-                                                            - m_attempt->begun) } });
+    kernel::logEvent(
+        kernel::EventId::AttemptFailed,
+        { { "request", m_request.id },
+          { "route", m_route.name },
+          { "upstream", m_attempt->upstream },
+          { "failure", toString(failure) },
+          { "detail", detail },
+          { "send", m_attempts.sent },
+          { "may_have_run", m_attempts.mayHaveRun },
+          { "took_ms", kernel::toMilliseconds(m_state.scheduler.now() - m_attempt->begun) } });
     switch (failure) {
     case AttemptFailure::Refused:
         closeAttempt(RunOutcome::Full);
@@ -591,9 +587,8 @@
     const int status = finalStatus(m_attempts, reason);
     kernel::Duration retryAfter{};
     if (status == unavailable) {
-        retryAfter = kernel::fromSeconds(retryAfterMinSeconds
-                                         + retryAfterSpreadSeconds
-                                             * kernel::uniform01(m_state.random));
+        retryAfter = kernel::fromSeconds(
+            retryAfterMinSeconds + retryAfterSpreadSeconds * kernel::uniform01(m_state.random));
     }
     refuse(status, why, retryAfter);
 }
@@ -630,8 +625,8 @@
             m_configuration ? kernel::toMilliseconds(at - m_state.directory.configuredAt) : -1 },
           { "store_away", m_state.directory.storeAway },
           { "first_ms", m_firstByteAt == kernel::Instant{}
-                ? -1
-                : kernel::toMilliseconds(m_firstByteAt - m_request.arrived) },
+                            ? -1
+                            : kernel::toMilliseconds(m_firstByteAt - m_request.arrived) },
           { "took_ms", kernel::toMilliseconds(at - m_request.arrived) } });
     const auto onDone = std::move(m_onDone);
     onDone(this);
--- a/src/forwarding/internal/modelchoice.h
+++ b/src/forwarding/internal/modelchoice.h
@@ -26,7 +26,14 @@
 /// The model to ask in place of an answer that nobody has seen yet; empty where the answer stands.
 /// `sentLeft` is the number of sends that the request may still have.
 std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
-                       const std::string &asked, std::optional<int> confidence, int sentLeft, kernel::Duration objectiveLeft);
+                       const std::string &asked, std::optional<int> confidence, int sentLeft,
+                       kernel::Duration objectiveLeft);
+
+/// The urgency of a request at an engine, 0 (first) to 9: by its route, whose objective says how
+/// soon its answer is wanted, and among equals by its workspace. Engines batch all workspaces
+/// together, so a workspace that goes before its route would delay the others' short requests for
+/// its long ones.
+int engineUrgency(int routeRank, int workspaceRank);
 
 /// Expected work of a request at an engine, in tokens read: a token generated counts as many.
 double expectedWork(const ModelWork &work);
--- a/src/forwarding/internal/retrybudget.cpp
+++ b/src/forwarding/internal/retrybudget.cpp
@@ -27,7 +27,8 @@
 {
     forgetBefore(budget.requests, now - bounds.window);
     forgetBefore(budget.repeats, now - bounds.window);
-    const double earned = bounds.ratio * usedPartOfRatio * static_cast<double>(budget.requests.size());
+    const double earned
+        = bounds.ratio * usedPartOfRatio * static_cast<double>(budget.requests.size());
     const double allowed = earned + bounds.slack / daemonsSharingSlack;
     if (static_cast<double>(budget.repeats.size()) + 1 > allowed)
         return false;
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -17,9 +17,9 @@
     int sharePermille;
 };
 
-// Sessions keep their version in the first half. Then the share grows in steps so that the target has
-// got about a seventh of all requests when the time is over: a version may turn bad at any moment,
-// and what it got until then counts.
+// Sessions keep their version in the first half. Then the share grows in steps so that the target
+// has got about a seventh of all requests when the time is over: a version may turn bad at any
+// moment, and what it got until then counts.
 constexpr std::array<Stage, 5> stages{ {
     { 0.0, 0 },
     { 0.51, 100 },
@@ -54,7 +54,8 @@
         return false;
     const auto needed = std::max<std::size_t>(
         std::min<std::size_t>(2, target.upstreams.size()),
-        static_cast<std::size_t>(minBadUpstreamPart * static_cast<double>(target.upstreams.size())));
+        static_cast<std::size_t>(minBadUpstreamPart
+                                 * static_cast<double>(target.upstreams.size())));
     return target.badUpstreams.size() >= needed;
 }
 
@@ -86,8 +87,9 @@
     return point < rollout.sharePermille ? VersionChoice::New : VersionChoice::Old;
 }
 
-void noteAnswer(RolloutEvidence &evidence, const RouteName &route, const kernel::UpstreamId &upstream,
-                bool onTarget, bool failed, std::optional<kernel::Duration> took)
+void noteAnswer(RolloutEvidence &evidence, const RouteName &route,
+                const kernel::UpstreamId &upstream, bool onTarget, bool failed,
+                std::optional<kernel::Duration> took)
 {
     bool bad = failed;
     if (took) {
@@ -118,7 +120,8 @@
 std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille)
 {
     const auto part = static_cast<double>(sharePermille) / permille;
-    const auto wanted = static_cast<std::size_t>(std::ceil(part * static_cast<double>(target.size())));
+    const auto wanted
+        = static_cast<std::size_t>(std::ceil(part * static_cast<double>(target.size())));
     target.resize(std::min(target.size(), std::max(wanted, minCanaries)));
     return target;
 }
@@ -133,7 +136,7 @@
     if (newUpstreams == 0)
         return std::nullopt;
     const double part = kernel::toSeconds(now - evidence.since)
-        / std::max(kernel::toSeconds(rollout.wantedTime), 1.0);
+                        / std::max(kernel::toSeconds(rollout.wantedTime), 1.0);
     const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
     if (full && part >= completePart && newUpstreams * 2 >= oldUpstreams)
         return RolloutStep{ RolloutState::Completed, permille };
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -55,8 +55,9 @@
 };
 
 /// Takes in one answer. `took` is the time to its first byte; a failure has none.
-void noteAnswer(RolloutEvidence &evidence, const RouteName &route, const kernel::UpstreamId &upstream,
-                bool onTarget, bool failed, std::optional<kernel::Duration> took);
+void noteAnswer(RolloutEvidence &evidence, const RouteName &route,
+                const kernel::UpstreamId &upstream, bool onTarget, bool failed,
+                std::optional<kernel::Duration> took);
 
 /// Whether the target is worse than the old version beyond doubt.
 bool isBad(const RolloutEvidence &evidence);
@@ -71,8 +72,8 @@
 };
 
 /// The upstreams of the target that take its share: as many as carry it at the load that the others
-/// have, so that a version which fails under load shows it while little is at stake. `target` stands
-/// in order of id, so all daemons choose the same.
+/// have, so that a version which fails under load shows it while little is at stake. `target`
+/// stands in order of id, so all daemons choose the same.
 std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille);
 
 /// The next step of a roll-out, if one is due. `newUpstreams` is the number of ready ones of the
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -50,9 +50,8 @@
                               { { "kind", kind } });
 }
 
-std::vector<const Upstream *> candidatesOf(const Directory &directory,
-                                           const kernel::ServiceName &service,
-                                           VersionChoice version)
+std::vector<const Upstream *>
+candidatesOf(const Directory &directory, const kernel::ServiceName &service, VersionChoice version)
 {
     const auto rollout = directory.rollouts.find(service);
     std::vector<const Upstream *> result;
@@ -94,8 +93,8 @@
         return true;
     const auto known = state.longestAnswers.find(route.name);
     const kernel::Duration longest = known == state.longestAnswers.end()
-        ? route.timeout
-        : scaled(known->second, longestAnswerMargin);
+                                         ? route.timeout
+                                         : scaled(known->second, longestAnswerMargin);
     return now + longest + finishSlack < *state.endsAt;
 }
 
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -75,9 +75,8 @@
 };
 
 /// The upstreams of a service that a request may be sent to, as far as versions and leaving go.
-std::vector<const Upstream *> candidatesOf(const Directory &directory,
-                                           const kernel::ServiceName &service,
-                                           VersionChoice version);
+std::vector<const Upstream *>
+candidatesOf(const Directory &directory, const kernel::ServiceName &service, VersionChoice version);
 
 /// The ready upstreams of a roll-out's service: those of its target, and the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -128,7 +128,8 @@
     }
     if (open.empty()) {
         const Upstream *upstream = leastLoaded(avoided, records, random);
-        return { upstream, upstream != nullptr ? ChoiceReason::AvoidedIgnored : ChoiceReason::None };
+        return { upstream,
+                 upstream != nullptr ? ChoiceReason::AvoidedIgnored : ChoiceReason::None };
     }
     if (!query.affinity.empty())
         return chooseByAffinity(std::move(open), records, query, random);
@@ -167,8 +168,8 @@
     }
     ++record.consecutiveFailures;
     const bool oftenFailing = record.recentRequests >= minRequestsToJudge
-        && record.failureShare > failureShareToAvoid
-        && record.failureShare > failureFactorToAvoid * serviceFailureShare;
+                              && record.failureShare > failureShareToAvoid
+                              && record.failureShare > failureFactorToAvoid * serviceFailureShare;
     const bool broken = outcome == RunOutcome::Broken;
     if (!broken && !oftenFailing && record.consecutiveFailures < consecutiveFailuresToAvoid)
         return false;
--- a/src/framework/http/internal/answerparser.h
+++ b/src/framework/http/internal/answerparser.h
@@ -45,7 +45,10 @@
     bool keepAlive() const { return m_keepAlive; }
 
 private:
-    static AnswerParser *of(http_parser *parser) { return static_cast<AnswerParser *>(parser->data); }
+    static AnswerParser *of(http_parser *parser)
+    {
+        return static_cast<AnswerParser *>(parser->data);
+    }
     static int onField(http_parser *parser, const char *at, std::size_t length);
     static int onValue(http_parser *parser, const char *at, std::size_t length);
     static int onHeadersComplete(http_parser *parser);
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -49,7 +49,8 @@
     const std::size_t at = value->find(parameter);
     if (at == std::string_view::npos)
         return std::nullopt;
-    return std::chrono::seconds(std::atoi(std::string(value->substr(at + parameter.size())).c_str()));
+    return std::chrono::seconds(
+        std::atoi(std::string(value->substr(at + parameter.size())).c_str()));
 }
 
 // A socket that is closed when its owner goes.
@@ -148,9 +149,8 @@
         , m_maxIdle(request.maxIdle)
         , m_echoedHeader(request.echoedHeader)
         , m_bytes(formatHead(request) + request.body)
-        , m_parser(request.method == "HEAD",
-                   { [this](ClientHead head) { onHead(std::move(head)); },
-                     [this](std::string_view piece) { onBody(piece); } })
+        , m_parser(request.method == "HEAD", { [this](ClientHead head) { onHead(std::move(head)); },
+                                               [this](std::string_view piece) { onBody(piece); } })
     {
         if (!m_echoedHeader.empty())
             m_echoedValue = findHeader(request.headers, m_echoedHeader).value_or("");
@@ -164,7 +164,8 @@
         m_socket = m_idle->take(m_endpoint, m_maxIdle);
         if (m_socket) {
             // The owner gets its handle before the first callback.
-            m_timer = kernel::Timer(scheduler(), kernel::Duration::zero(), [this] { sendRequest(); });
+            m_timer
+                = kernel::Timer(scheduler(), kernel::Duration::zero(), [this] { sendRequest(); });
             return false;
         }
         m_timer = kernel::Timer(scheduler(), m_connectTimeout, [this] {
@@ -349,8 +350,8 @@
             return;
         }
         if (const auto idleTime = advertisedIdleTime(head.headers)) {
-            m_keepFor = std::chrono::duration_cast<kernel::Duration>(*idleTime
-                                                                    * keptPartOfKeepAlive);
+            m_keepFor
+                = std::chrono::duration_cast<kernel::Duration>(*idleTime * keptPartOfKeepAlive);
         }
         if (m_handlers.onHead && !m_ended)
             m_handlers.onHead(head);
@@ -376,7 +377,8 @@
             return;
         }
         const auto self = shared_from_this();
-        end({ kernel::Error{ kernel::ResultCode::UpstreamTimeout, "no answer within the time-out" } });
+        end({ kernel::Error{ kernel::ResultCode::UpstreamTimeout,
+                             "no answer within the time-out" } });
     }
 
     // Frees the connection and the handlers, but not while a handler runs or the parser reads from
@@ -505,8 +507,7 @@
     if (!address) {
         kernel::Error error{ kernel::ResultCode::UpstreamConnectFailed, address.error().message };
         return std::make_unique<NoExchange>(
-            m_impl->loop.scheduler(),
-            [onEnd = std::move(handlers.onEnd), error] { onEnd(error); });
+            m_impl->loop.scheduler(), [onEnd = std::move(handlers.onEnd), error] { onEnd(error); });
     }
     auto state
         = std::make_shared<ExchangeState>(m_impl->loop, m_impl->idle, request, std::move(handlers));
--- a/src/framework/http/internal/message.cpp
+++ b/src/framework/http/internal/message.cpp
@@ -45,9 +45,9 @@
 bool isConnectionHeader(const Headers &headers, std::string_view name)
 {
     constexpr std::array<std::string_view, 11> always{
-        "connection",        "keep-alive", "proxy-authenticate", "proxy-authorization",
-        "proxy-connection",  "te",         "trailer",            "transfer-encoding",
-        "content-length",    "upgrade",    "host",
+        "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+        "te",         "trailer",    "transfer-encoding",  "content-length",      "upgrade",
+        "host",
     };
     if (std::ranges::find(always, name) != always.end())
         return true;
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -111,8 +111,8 @@
     h2o_socket_t *listener = nullptr;
     kernel::Endpoint endpoint;
     std::unordered_set<Connection *> connections;
-    // Requests that are not answered whole. The server keeps their responders, so that a handler that
-    // drops one does not leave its request open.
+    // Requests that are not answered whole. The server keeps their responders, so that a handler
+    // that drops one does not leave its request open.
     std::unordered_map<H2oResponder *, InProgress> inProgress;
     kernel::Timer hangUpTimer;
     std::uint64_t accepted = 0;
--- a/src/framework/http/tests/rawserver.h
+++ b/src/framework/http/tests/rawserver.h
@@ -17,8 +17,8 @@
     RawServer &operator=(const RawServer &) = delete;
 
     kernel::Endpoint endpoint() const { return m_endpoint; }
-    /// Runs the loop until a connection has come and its request's head has arrived, or five seconds
-    /// passed; returns what arrived.
+    /// Runs the loop until a connection has come and its request's head has arrived, or five
+    /// seconds passed; returns what arrived.
     std::string awaitRequest();
     /// Writes to the newest connection.
     void send(std::string_view bytes);
--- a/src/framework/kernel/internal/linewriter.cpp
+++ b/src/framework/kernel/internal/linewriter.cpp
@@ -32,7 +32,8 @@
     if (m_dropped > 0) {
         const EventInfo &info = describe(EventId::LogLinesDropped);
         m_pending += R"({"event":)" + std::to_string(static_cast<int>(info.id)) + R"(,"name":")"
-            + std::string(info.name) + R"(","number":)" + std::to_string(m_dropped) + "}\n";
+                     + std::string(info.name) + R"(","number":)" + std::to_string(m_dropped)
+                     + "}\n";
         m_dropped = 0;
     }
     m_pending += line;
@@ -44,8 +45,7 @@
 {
     std::size_t written = 0;
     while (written < m_pending.size()) {
-        const ssize_t count
-            = ::write(m_fd, m_pending.data() + written, m_pending.size() - written);
+        const ssize_t count = ::write(m_fd, m_pending.data() + written, m_pending.size() - written);
         if (count <= 0)
             break;
         written += static_cast<std::size_t>(count);
--- a/src/gateway/internal/options.h
+++ b/src/gateway/internal/options.h
@@ -4,9 +4,9 @@
 #include <functional>
 #include <string>
 
+#include "externals/externals.h"
 #include "kernel/kernel.h"
 #include "ledger/ledger.h"
-#include "externals/externals.h"
 #include "routing/routing.h"
 #include "table/table.h"
 
--- a/src/ledger/internal/environment.h
+++ b/src/ledger/internal/environment.h
@@ -3,8 +3,8 @@
 #include <functional>
 #include <string>
 
-#include "kernel/kernel.h"
 #include "externals/externals.h"
+#include "kernel/kernel.h"
 #include "wire/wire.h"
 
 namespace acaciasail::ledger {
--- a/src/ledger/tests/fleet.h
+++ b/src/ledger/tests/fleet.h
@@ -9,8 +9,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "ledger/ledger.h"
 #include "externals/testing/fakeplatform.h"
+#include "ledger/ledger.h"
 
 namespace acaciasail::ledger {
 
--- a/src/peers/internal/discovery.h
+++ b/src/peers/internal/discovery.h
@@ -2,9 +2,9 @@
 
 #include <vector>
 
+#include "externals/externals.h"
 #include "peers/internal/node.h"
 #include "peers/internal/prober.h"
-#include "externals/externals.h"
 
 namespace acaciasail::peers {
 
--- a/src/peers/internal/peers.h
+++ b/src/peers/internal/peers.h
@@ -7,13 +7,13 @@
 #include <string>
 #include <vector>
 
+#include "externals/externals.h"
 #include "kernel/kernel.h"
 #include "peers/internal/member.h"
 #include "peers/internal/options.h"
 #include "peers/internal/rows.h"
 #include "peers/internal/survey.h"
 #include "peers/internal/topic.h"
-#include "externals/externals.h"
 #include "wire/wire.h"
 
 namespace acaciasail::peers {
--- a/src/routing/internal/quality.cpp
+++ b/src/routing/internal/quality.cpp
@@ -240,7 +240,8 @@
         addRating(workspace->second.surprise, score - kind->second.expected);
 }
 
-void noteRating(QualityBook &book, const table::VersionRow &version, const externals::Rating &rating)
+void noteRating(QualityBook &book, const table::VersionRow &version,
+                const externals::Rating &rating)
 {
     const double score = std::clamp(rating.score, 0.0, 1.0);
     VersionQuality *cell = makeCell(book, rating.workspace, rating.kind, version);
--- a/src/routing/internal/quality.h
+++ b/src/routing/internal/quality.h
@@ -8,8 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "kernel/kernel.h"
 #include "externals/externals.h"
+#include "kernel/kernel.h"
 #include "routing/internal/facts.h"
 #include "table/table.h"
 
--- a/src/table/internal/edits.h
+++ b/src/table/internal/edits.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "kernel/kernel.h"
 #include "externals/externals.h"
+#include "kernel/kernel.h"
 #include "table/internal/references.h"
 #include "table/internal/rowcodec.h"
 #include "table/internal/storedrow.h"
--- a/src/table/internal/tablewatcher.h
+++ b/src/table/internal/tablewatcher.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <string>
 
-#include "kernel/kernel.h"
 #include "externals/externals.h"
+#include "kernel/kernel.h"
 #include "table/internal/tablestore.h"
 
 namespace acaciasail::table {
@@ -29,8 +29,8 @@
 class TableWatcher
 {
 public:
-    TableWatcher(externals::ObjectStore store, const kernel::Scheduler &scheduler, TableStore &table,
-                 const WatcherOptions &options);
+    TableWatcher(externals::ObjectStore store, const kernel::Scheduler &scheduler,
+                 TableStore &table, const WatcherOptions &options);
     TableWatcher(const TableWatcher &) = delete;
     TableWatcher &operator=(const TableWatcher &) = delete;
     ~TableWatcher();
--- a/standins/objectapi.h
+++ b/standins/objectapi.h
@@ -4,8 +4,8 @@
 #include <string>
 #include <vector>
 
-#include "http/http.h"
 #include "externals/testing/memorystore.h"
+#include "http/http.h"
 #include "record.h"
 #include "replies.h"
 
--- a/standins/standinsettings.h
+++ b/standins/standinsettings.h
@@ -3,8 +3,8 @@
 #include <string>
 #include <vector>
 
-#include "kernel/kernel.h"
 #include "externals/externals.h"
+#include "kernel/kernel.h"
 
 namespace acaciasail::standins {
 
--- a/standins/tests/standins_tests.cpp
+++ b/standins/tests/standins_tests.cpp
@@ -158,8 +158,8 @@
     Harness h;
     const externals::Platform platform
         = externals::makePlatform(h.client, h.loop.scheduler(),
-                                 { .endpoint = h.world.platformEndpoint(),
-                                   .watchHeartbeat = std::chrono::milliseconds(50) });
+                                  { .endpoint = h.world.platformEndpoint(),
+                                    .watchHeartbeat = std::chrono::milliseconds(50) });
     table::TableStore store(h.loop.scheduler());
     table::TableWatcher watcher(platform.objects, h.loop.scheduler(), store, {});
     watcher.start();
