--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::int64_t minuteMilliseconds = 60 * 1000;
+constexpr std::int64_t minuteMilliseconds = 60000;
 constexpr double maxRetryRatio = 10;
 
 // Numbers of the platform may be fractions or whole; TOML keeps them apart.
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -33,7 +33,7 @@
 // A silent upstream is given up, if the request may be sent elsewhere, after what is unusual within
 // these bounds: before the first byte in parts of the route's objective, later in parts of the
 // pause that is still on time.
-constexpr double leastSilentObjectives = 1.2;
+constexpr double leastSilentObjectives = 0.35;
 constexpr double mostSilentObjectives = 2.5;
 constexpr double leastSilentPauses = 1.0;
 constexpr double mostSilentPauses = 3;
@@ -44,6 +44,8 @@
 // together.
 constexpr double retryAfterMinSeconds = 0.2;
 constexpr double retryAfterSpreadSeconds = 0.6;
+// A daemon that starts has read the store within this time, unless the store is away.
+constexpr kernel::Duration startRetryAfter = std::chrono::milliseconds(250);
 // Another daemon takes what this one refuses while it stops.
 constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
 // From a process's end until it takes requests again.
@@ -92,7 +94,7 @@
         return false;
     }
     if (!canServe(m_state.directory)) {
-        refuse(unavailable, "no_configuration", std::chrono::seconds(1));
+        refuse(unavailable, "no_configuration", startRetryAfter);
         return false;
     }
     m_configuration = m_state.directory.configuration;
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -175,8 +175,11 @@
     const int events = *rc::gen::inRange(0, 8);
     for (int i = 0; i < events; ++i) {
         const std::string end = *rc::gen::element<std::string>("\n", "\r\n");
-        const std::string event = "id: " + std::to_string(i) + end + "data: "
-                                  + *rc::gen::element<std::string>("", "x y") + end + end;
+        std::string event = "id: ";
+        event += std::to_string(i) + end;
+        event += "data: ";
+        event += *rc::gen::element<std::string>("", "x y") + end;
+        event += end;
         stream += event;
         expected.push_back(std::to_string(i) + "|" + event);
     }
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -59,7 +59,7 @@
     request.id = kernel::RequestId("r");
     forwarder.handle(request, caller);
     EXPECT_EQ(caller->status, 503);
-    EXPECT_EQ(caller->header("retry-after"), "1.000000");
+    EXPECT_EQ(caller->header("retry-after"), "0.250000");
     EXPECT_FALSE(forwarder.canServe());
 }
 
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -109,6 +109,7 @@
 {
     std::vector<Upstream> upstreams(12);
     std::vector<const Upstream *> target;
+    target.reserve(upstreams.size());
     for (const Upstream &upstream : upstreams)
         target.push_back(&upstream);
     EXPECT_EQ(canaries(target, 100).size(), 2U);
--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -84,7 +84,7 @@
         self->m_head.contentLength = parser->content_length;
     self->m_keepAlive = http_should_keep_alive(parser) != 0;
     if (self->m_handlers.onHead)
-        self->m_handlers.onHead(std::move(self->m_head));
+        self->m_handlers.onHead(self->m_head);
     self->m_head = {};
     return self->m_answersHead ? headersNoBody : headersOk;
 }
--- a/src/framework/http/internal/answerparser.h
+++ b/src/framework/http/internal/answerparser.h
@@ -19,7 +19,7 @@
 public:
     struct Handlers
     {
-        std::function<void(ClientHead)> onHead;
+        std::function<void(const ClientHead &)> onHead;
         std::function<void(std::string_view)> onBody;
     };
 
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -149,7 +149,7 @@
         , m_maxIdle(request.maxIdle)
         , m_echoedHeader(request.echoedHeader)
         , m_bytes(formatHead(request) + request.body)
-        , m_parser(request.method == "HEAD", { [this](ClientHead head) { onHead(std::move(head)); },
+        , m_parser(request.method == "HEAD", { [this](const ClientHead &head) { onHead(head); },
                                                [this](std::string_view piece) { onBody(piece); } })
     {
         if (!m_echoedHeader.empty())
@@ -340,7 +340,7 @@
         m_idle->put(m_endpoint, std::move(m_socket), m_keepFor);
     }
 
-    void onHead(ClientHead head)
+    void onHead(const ClientHead &head)
     {
         m_headSeen = true;
         if (!m_echoedHeader.empty()
--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -25,7 +25,7 @@
              bool answersHead = false)
 {
     Parsed result;
-    AnswerParser parser(answersHead, { [&](ClientHead head) {
+    AnswerParser parser(answersHead, { [&](const ClientHead &head) {
                                           result.status = head.status;
                                           result.headers = head.headers;
                                       },
--- a/tools/check.sh
+++ b/tools/check.sh
@@ -12,6 +12,7 @@
 cmake --preset release
 cmake --build --preset release
 tools/lint.sh
+tools/wirenames.sh
 ctest --preset release -j 4
 tools/scenarios.sh
 if [ "${1:-}" = "--sanitize" ]; then
