--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -499,7 +499,8 @@
     const auto evidence = m_state.evidence.find(m_service);
     if (evidence == m_state.evidence.end())
         return;
-    noteAnswer(evidence->second, m_route.name, m_attempt->upstream, m_attempt->onTarget, failed,
+    noteAnswer(evidence->second, { m_route.name, m_attempt->model }, m_attempt->upstream,
+               m_attempt->onTarget, failed,
                failed ? std::nullopt : std::optional(at - m_attempt->begun));
 }
 
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -29,8 +29,8 @@
 } };
 // Part of the wanted time at which the old upstreams may be stopped.
 constexpr double completePart = 0.965;
-// Canaries at least, since one upstream says nothing of its version.
-constexpr std::size_t minCanaries = 2;
+// Canaries at least: some may fail by themselves, which says nothing of their version.
+constexpr std::size_t minCanaries = 4;
 
 // Bad answers before the target is judged at all.
 constexpr int minBad = 4;
@@ -38,11 +38,11 @@
 constexpr double badShareFactor = 3;
 // Part of the target's upstreams that must have given bad answers: one that fails by itself says
 // nothing of the version.
-constexpr double minBadUpstreamPart = 0.34;
+constexpr double minBadUpstreamPart = 0.6;
 
 // An answer is slow when it takes this many times the usual, and longer than the usual by this.
-constexpr double slowFactor = 4;
-constexpr double slowExcessSeconds = 0.25;
+constexpr double slowFactor = 3;
+constexpr double slowExcessSeconds = 0.1;
 constexpr double usualDecay = 0.05;
 
 bool clearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
@@ -52,10 +52,8 @@
     if (target.badShare() < old.badShare() * badShareFactor
         || target.badShare() < old.badShare() + minBadShareExcess)
         return false;
-    const auto needed = std::max<std::size_t>(
-        std::min<std::size_t>(2, target.upstreams.size()),
-        static_cast<std::size_t>(minBadUpstreamPart
-                                 * static_cast<double>(target.upstreams.size())));
+    const auto needed = static_cast<std::size_t>(
+        std::ceil(minBadUpstreamPart * static_cast<double>(target.upstreams.size())));
     return target.badUpstreams.size() >= needed;
 }
 
@@ -87,33 +85,33 @@
     return point < rollout.sharePermille ? VersionChoice::New : VersionChoice::Old;
 }
 
-void noteAnswer(RolloutEvidence &evidence, const RouteName &route,
+void noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
                 const kernel::UpstreamId &upstream, bool onTarget, bool failed,
                 std::optional<kernel::Duration> took)
 {
     bool bad = failed;
     if (took) {
         const double seconds = kernel::toSeconds(*took);
-        const auto usual = evidence.usualSeconds.find(route);
-        if (usual != evidence.usualSeconds.end())
+        const auto usual = evidence.usualSeconds.find(kind);
+        if (usual != evidence.usualSeconds.end() && evidence.share < permille)
             bad = bad || seconds > usual->second * slowFactor + slowExcessSeconds;
         if (!onTarget) {
-            double &mean = evidence.usualSeconds.try_emplace(route, seconds).first->second;
+            double &mean = evidence.usualSeconds.try_emplace(kind, seconds).first->second;
             mean += usualDecay * (seconds - mean);
         }
     }
     count(onTarget ? evidence.newTotal : evidence.oldTotal, upstream, bad);
-    count((onTarget ? evidence.newByRoute : evidence.oldByRoute)[route], upstream, bad);
+    count((onTarget ? evidence.newByKind : evidence.oldByKind)[kind], upstream, bad);
 }
 
 bool isBad(const RolloutEvidence &evidence)
 {
     if (clearlyWorse(evidence.newTotal, evidence.oldTotal))
         return true;
-    return std::ranges::any_of(evidence.newByRoute, [&](const auto &item) {
-        const auto old = evidence.oldByRoute.find(item.first);
+    return std::ranges::any_of(evidence.newByKind, [&](const auto &item) {
+        const auto old = evidence.oldByKind.find(item.first);
         return clearlyWorse(item.second,
-                            old == evidence.oldByRoute.end() ? VersionEvidence{} : old->second);
+                            old == evidence.oldByKind.end() ? VersionEvidence{} : old->second);
     });
 }
 
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -35,6 +35,9 @@
     double badShare() const { return total() == 0 ? 0 : static_cast<double>(bad) / total(); }
 };
 
+/// Answers that can be compared with each other: of one route by one model.
+using AnswerKind = std::pair<RouteName, std::string>;
+
 /// What a daemon has seen of a roll-out.
 struct RolloutEvidence
 {
@@ -44,18 +47,19 @@
     /// When this daemon saw the share in force.
     kernel::Instant shareSince{};
     int share = 0;
-    /// All routes together, and each route by itself.
+    /// All answers together, and each kind by itself.
     VersionEvidence oldTotal;
     VersionEvidence newTotal;
-    std::map<RouteName, VersionEvidence> newByRoute;
-    std::map<RouteName, VersionEvidence> oldByRoute;
-    /// Time to the first byte on the old version, by route: a mean with decay, in seconds.
-    std::map<RouteName, double> usualSeconds;
+    std::map<AnswerKind, VersionEvidence> newByKind;
+    std::map<AnswerKind, VersionEvidence> oldByKind;
+    /// Time to the first byte on the old version: a mean with decay, in seconds.
+    std::map<AnswerKind, double> usualSeconds;
     bool condemned = false;
 };
 
-/// Takes in one answer. `took` is the time to its first byte; a failure has none.
-void noteAnswer(RolloutEvidence &evidence, const RouteName &route,
+/// Takes in one answer. `took` is the time to its first byte; a failure has none. Slowness counts
+/// only while both versions get requests, as later nobody shows what is usual.
+void noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
                 const kernel::UpstreamId &upstream, bool onTarget, bool failed,
                 std::optional<kernel::Duration> took);
 
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr kernel::Duration wanted = 20s;
-const RouteName chat("chat");
+const AnswerKind chat(RouteName("chat"), "large");
 
 kernel::Instant at(kernel::Duration time)
 {
@@ -86,8 +86,8 @@
     EXPECT_EQ(rollout.state, RolloutState::Completed);
 }
 
-// The target gets no more than the operators' usual bound of 15% by the end, also when the last part of
-// the time has a third more traffic than the rest.
+// The target gets no more than the operators' usual bound of 15% by the end, also when the last
+// part of the time has a third more traffic than the rest.
 TEST(RolloutPlan, TheTargetsPartStaysSmallUntilTheEnd)
 {
     RolloutEvidence evidence;
@@ -114,8 +114,8 @@
     target.reserve(upstreams.size());
     for (const Upstream &upstream : upstreams)
         target.push_back(&upstream);
-    EXPECT_EQ(canaries(target, 100).size(), 2U);
-    EXPECT_EQ(canaries(target, 330).size(), 4U);
+    EXPECT_EQ(canaries(target, 100).size(), 4U);
+    EXPECT_EQ(canaries(target, 500).size(), 6U);
     EXPECT_EQ(canaries(target, 1000).size(), 12U);
     EXPECT_EQ(canaries({ target[0] }, 100).size(), 1U);
     EXPECT_EQ(canaries(target, 200)[0], target[0]) << "the same on every daemon";
@@ -164,6 +164,21 @@
     EXPECT_FALSE(isBad(evidence));
 }
 
+// Seen on a good version: two of the target's upstreams failed half of their requests.
+TEST(RolloutPlan, TwoFailingUpstreamsOfFourCondemnNobody)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 40, 2);
+    answers(evidence, true, 20, 0, 4);
+    for (int i = 0; i < 20; ++i) {
+        noteAnswer(evidence, chat, kernel::UpstreamId("new" + std::to_string(i % 2)), true,
+                   i % 4 < 2, std::nullopt);
+    }
+    EXPECT_FALSE(isBad(evidence));
+    noteAnswer(evidence, chat, kernel::UpstreamId("new2"), true, true, std::nullopt);
+    EXPECT_TRUE(isBad(evidence)) << "three of four";
+}
+
 TEST(RolloutPlan, SlowAnswersAreBad)
 {
     RolloutEvidence evidence;
@@ -175,12 +190,42 @@
     EXPECT_TRUE(isBad(evidence));
 }
 
+// Seen on a slow version: the small model's quick answers hid the large one's.
+TEST(RolloutPlan, SlowAnswersOfOneModelAreBad)
+{
+    RolloutEvidence evidence;
+    const AnswerKind small(RouteName("chat"), "small");
+    answers(evidence, false, 30, 0);
+    for (int i = 0; i < 60; ++i) {
+        noteAnswer(evidence, small, kernel::UpstreamId("old0"), false, false, 20ms);
+        noteAnswer(evidence, small, kernel::UpstreamId("new" + std::to_string(i % 3)), true, false,
+                   20ms);
+        if (i % 10 == 0) {
+            noteAnswer(evidence, chat, kernel::UpstreamId("new" + std::to_string(i / 10 % 3)), true,
+                       false, 800ms);
+        }
+    }
+    EXPECT_TRUE(isBad(evidence));
+}
+
+TEST(RolloutPlan, LoadAfterTheLastStepIsNoSlowness)
+{
+    RolloutEvidence evidence;
+    answers(evidence, false, 30, 0);
+    evidence.share = 1000;
+    for (int i = 0; i < 30; ++i) {
+        noteAnswer(evidence, chat, kernel::UpstreamId("new" + std::to_string(i % 3)), true, false,
+                   900ms);
+    }
+    EXPECT_FALSE(isBad(evidence));
+}
+
 TEST(RolloutPlan, OneBadRouteIsEnough)
 {
     RolloutEvidence evidence;
     answers(evidence, false, 100, 0);
     answers(evidence, true, 100, 0);
-    const RouteName other("other");
+    const AnswerKind other(RouteName("other"), "large");
     for (int i = 0; i < 20; ++i) {
         noteAnswer(evidence, other, kernel::UpstreamId("old0"), false, false, 100ms);
         noteAnswer(evidence, other, kernel::UpstreamId("new" + std::to_string(i % 3)), true,
