--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -296,8 +296,11 @@
         armSilence(allowed - silent);
         return;
     }
-    if (mayRepeat(m_attempts))
-        failAttempt(AttemptFailure::Lost, "silent");
+    if (!mayRepeat(m_attempts))
+        return;
+    // A version that is far too slow shows it by answers that nobody waits for.
+    noteEvidence(true);
+    failAttempt(AttemptFailure::Lost, "silent");
 }
 
 void Job::onHead(const http::ClientHead &clientHead)
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -35,7 +35,7 @@
 // Bad answers before the target is judged at all.
 constexpr int minBad = 4;
 constexpr double minBadShareExcess = 0.15;
-constexpr double badShareFactor = 3;
+constexpr double badShareFactor = 2;
 // Part of the target's upstreams that must have given bad answers: one that fails by itself says
 // nothing of the version.
 constexpr double minBadUpstreamPart = 0.6;
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -98,6 +98,32 @@
     EXPECT_EQ(last.state, RolloutState::RolledBack);
 }
 
+// Seen on a version whose answers were so late that none of them was waited for.
+TEST(ForwarderTest, ASilentRolloutIsTakenBack)
+{
+    Site site;
+    for (const char *id : { "n1", "n2", "n3" })
+        site.addUpstream(id, "engines", "v2");
+    site.forwarder.setRollout(order(1));
+    int asked = 0;
+    play(site, 20s, [&] {
+        for (int i = 0; i < 10; ++i) {
+            Request request = site.request("/chat/x");
+            request.work = ModelWork{ "", 10, 10, { { std::to_string(++asked), 10 } } };
+            site.ask(request);
+            Send &send = site.http.last();
+            const bool onTarget
+                = http::findHeader(send.request.headers, "upstream")->starts_with("n");
+            if (onTarget)
+                send.connect();
+            else
+                send.answer(200, "ok");
+        }
+    });
+    ASSERT_FALSE(site.steps.empty());
+    EXPECT_EQ(site.steps.back().second.state, RolloutState::RolledBack);
+}
+
 TEST(ForwarderTest, AStoppingRouterTakesOnlyWhatItCanFinish)
 {
     Site site;
