--- /dev/null
+++ b/src/framework/http/tests/drain_tests.cpp
@@ -0,0 +1,111 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "http/http.h"
+#include "http/tests/testclient.h"
+
+using namespace acaciasail;
+using namespace acaciasail::http;
+using acaciasail::http::tests::RawConnection;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+
+// A server that streams to many callers while it is drained; what each does is drawn from a seed.
+void playDrain(std::uint64_t seed)
+{
+    kernel::Random random(seed);
+    EventLoop loop;
+    std::vector<std::shared_ptr<Responder>> streams;
+    ServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    auto listening = kernel::capture([&] {
+        return Server::listen(loop, options,
+                              [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+                                  if (kernel::uniformBelow(random, 3) > 0)
+                                      responder->start(200, {});
+                                  streams.push_back(std::move(responder));
+                              });
+    });
+    ASSERT_TRUE(listening.ok());
+    const std::unique_ptr<Server> server = std::move(listening.value());
+    std::vector<std::unique_ptr<RawConnection>> callers;
+    constexpr int steps = 400;
+    for (int step = 0; step < steps; ++step) {
+        const std::uint64_t what = kernel::uniformBelow(random, 12);
+        if (what < 3 || callers.empty()) {
+            callers.push_back(std::make_unique<RawConnection>(loop, server->endpoint()));
+            callers.back()->send(what == 0 ? request.substr(0, 10) : request);
+        } else if (what == 3) {
+            callers[kernel::uniformBelow(random, callers.size())]->send(request + request);
+        } else if (what == 4) {
+            callers.erase(
+                callers.begin()
+                + static_cast<std::ptrdiff_t>(kernel::uniformBelow(random, callers.size())));
+        } else if (what == 5 && step > steps / 2) {
+            server->endConnectionsAfterAnswers();
+        } else if (what == 6 && step > steps / 2) {
+            server->closeIdleConnections();
+        } else if (!streams.empty()) {
+            const std::size_t index = kernel::uniformBelow(random, streams.size());
+            const auto stream = streams[index];
+            if (what < 9)
+                stream->write("data: x\n\n");
+            else if (what == 9)
+                stream->finish();
+            else if (what == 10)
+                stream->abort();
+            else
+                stream->send(200, {}, "whole");
+            if (what >= 9)
+                streams.erase(streams.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+        if (kernel::uniformBelow(random, 2) == 0)
+            loop.runOnce(1ms);
+    }
+}
+
+} // namespace
+
+TEST(HttpDrain, AnyOrderOfEventsIsSurvived)
+{
+    constexpr std::uint64_t seeds = 20;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
+        playDrain(seed);
+}
+
+// Draining ends no answer that is on its way.
+TEST(HttpDrain, AnswersOnTheirWayAreFinished)
+{
+    EventLoop loop;
+    std::shared_ptr<Responder> stream;
+    ServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    auto listening = kernel::capture([&] {
+        return Server::listen(loop, options,
+                              [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+                                  stream = std::move(responder);
+                                  stream->start(200, {});
+                              });
+    });
+    ASSERT_TRUE(listening.ok());
+    const std::unique_ptr<Server> server = std::move(listening.value());
+    RawConnection caller(loop, server->endpoint());
+    caller.send(request);
+    ASSERT_TRUE(loop.runUntil([&] { return stream != nullptr; }, 5s));
+    stream->write("one");
+    caller.readUntil("one");
+    server->endConnectionsAfterAnswers();
+    for (int i = 0; i < 10; ++i) {
+        server->closeIdleConnections();
+        loop.runUntil([] { return false; }, 20ms);
+    }
+    stream->write("two");
+    stream->finish();
+    EXPECT_NE(caller.readUntil("0\r\n\r\n").find("two"), std::string::npos);
+}
