--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -306,7 +306,6 @@
 void Job::onHead(const http::ClientHead &clientHead)
 {
     const auto self = shared_from_this();
-    m_attempt->headSeen = true;
     m_attempt->lastActivity = m_state.scheduler.now();
     AnswerHead head = m_state.wire.decodeHead(clientHead);
     if (head.wrongUpstream || head.notRun) {
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -37,7 +37,6 @@
         kernel::Instant lastActivity{};
         bool sent = false;
         bool ranBefore = false;
-        bool headSeen = false;
         std::optional<AnswerHead> head;
         std::string body;
         bool firstByteSeen = false;
