--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -7,11 +7,11 @@
 
 namespace {
 
-constexpr kernel::Duration tickInterval = std::chrono::milliseconds(250);
+constexpr kernel::Duration tickInterval = std::chrono::milliseconds(100);
 // A step that was asked for is not asked for again before this.
-constexpr kernel::Duration rolloutAskInterval = std::chrono::milliseconds(1500);
+constexpr kernel::Duration rolloutAskInterval = std::chrono::milliseconds(500);
 // Daemons ask for the same step one after the other, so that mostly one of them writes.
-constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(200);
+constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(50);
 constexpr std::uint64_t rolloutAskers = 6;
 
 void logConfiguration(const Directory &directory, DirectoryChange change)
@@ -188,12 +188,8 @@
                            { "old_bad", evidence.oldTotal.bad },
                            { "old_answers", evidence.oldTotal.total() } });
     }
-    const auto count = [&](VersionChoice version) {
-        return static_cast<int>(
-            candidatesOf(m_state.directory, rollout.service, version).size());
-    };
-    const auto step = nextStep(rollout, evidence, count(VersionChoice::New),
-                               count(VersionChoice::Old), now);
+    const auto [newUpstreams, oldUpstreams] = countByVersion(m_state.directory, rollout);
+    const auto step = nextStep(rollout, evidence, newUpstreams, oldUpstreams, now);
     kernel::Instant &askAt = m_rolloutAskedAt[rollout.service];
     if (!step) {
         askAt = {};
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -309,6 +309,12 @@
         failAttempt(AttemptFailure::Garbled, head.encoded ? "content encoding" : "no proof");
         return;
     }
+    if (m_attempts.answerBegun && (head.status >= firstErrorStatus || !head.events)) {
+        // Only more events can follow what the caller has.
+        noteEvidence(true);
+        failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
+        return;
+    }
     m_attempt->head = std::move(head);
     if (m_attempt->head->status < firstErrorStatus && !m_attempts.answerBegun && escalate())
         return;
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace acaciasail::forwarding {
 
@@ -16,19 +17,20 @@
     int sharePermille;
 };
 
-// Sessions keep their version in the first half. Then the share grows in steps, each long enough to
-// see what the version does under its load.
+// Sessions keep their version in the first half. Then the share grows in steps so that the target has
+// got about a seventh of all requests when the time is over: a version may turn bad at any moment,
+// and what it got until then counts.
 constexpr std::array<Stage, 5> stages{ {
     { 0.0, 0 },
     { 0.51, 100 },
-    { 0.58, 250 },
-    { 0.64, 500 },
-    { 0.70, 1000 },
+    { 0.71, 200 },
+    { 0.83, 330 },
+    { 0.93, 1000 },
 } };
-// Part of the wanted time at which the old upstreams may be stopped; streams on them have ended.
-constexpr double completePart = 0.88;
-// Shortest time at the full share before the old upstreams may be stopped.
-constexpr kernel::Duration minFullTime = std::chrono::seconds(3);
+// Part of the wanted time at which the old upstreams may be stopped.
+constexpr double completePart = 0.96;
+// Canaries at least, since one upstream says nothing of its version.
+constexpr std::size_t minCanaries = 2;
 
 // Bad answers before the target is judged at all.
 constexpr int minBad = 4;
@@ -113,6 +115,14 @@
     });
 }
 
+std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille)
+{
+    const auto part = static_cast<double>(sharePermille) / permille;
+    const auto wanted = static_cast<std::size_t>(std::ceil(part * static_cast<double>(target.size())));
+    target.resize(std::min(target.size(), std::max(wanted, minCanaries)));
+    return target;
+}
+
 std::optional<RolloutStep> nextStep(const Rollout &rollout, const RolloutEvidence &evidence,
                                     int newUpstreams, int oldUpstreams, kernel::Instant now)
 {
@@ -125,8 +135,7 @@
     const double part = kernel::toSeconds(now - evidence.since)
         / std::max(kernel::toSeconds(rollout.wantedTime), 1.0);
     const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
-    if (full && part >= completePart && now - evidence.shareSince >= minFullTime
-        && newUpstreams * 2 >= oldUpstreams)
+    if (full && part >= completePart && newUpstreams * 2 >= oldUpstreams)
         return RolloutStep{ RolloutState::Completed, permille };
     int share = 0;
     for (const Stage &stage : stages) {
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -70,6 +70,11 @@
     friend bool operator==(const RolloutStep &, const RolloutStep &) = default;
 };
 
+/// The upstreams of the target that take its share: as many as carry it at the load that the others
+/// have, so that a version which fails under load shows it while little is at stake. `target` stands
+/// in order of id, so all daemons choose the same.
+std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille);
+
 /// The next step of a roll-out, if one is due. `newUpstreams` is the number of ready ones of the
 /// target, `oldUpstreams` that of the others.
 std::optional<RolloutStep> nextStep(const Rollout &rollout, const RolloutEvidence &evidence,
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -66,9 +66,22 @@
         }
         result.push_back(&known.entry);
     }
+    if (rollout != directory.rollouts.end() && version == VersionChoice::New
+        && rollout->second.state == RolloutState::Running)
+        return canaries(std::move(result), rollout->second.sharePermille);
     return result;
 }
 
+std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout)
+{
+    std::pair<int, int> counts{ 0, 0 };
+    for (const auto &[id, known] : directory.upstreams) {
+        if (known.entry.service == rollout.service && !known.entry.draining)
+            ++(known.entry.version == rollout.target ? counts.first : counts.second);
+    }
+    return counts;
+}
+
 void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took)
 {
     kernel::Duration &longest = state.longestAnswers[route];
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <utility>
 
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
@@ -76,6 +77,9 @@
                                            const kernel::ServiceName &service,
                                            VersionChoice version);
 
+/// The ready upstreams of a roll-out's service: those of its target, and the others.
+std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
+
 /// Takes in how long an answer took.
 void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took);
 
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -208,6 +208,32 @@
     EXPECT_TRUE(caller->ended && !caller->aborted);
 }
 
+TEST(JobTest, AFailureInPlaceOfTheRestOfAStreamIsNoPartOfIt)
+{
+    for (const int status : { 500, 404, 200 }) {
+        Site site;
+        const auto caller = site.ask("/chat/x");
+        for (int send = 0; send < 3; ++send) {
+            Send &last = site.http.last();
+            last.connect();
+            if (send == 0) {
+                last.head(200, events);
+                last.body(firstEvent);
+                last.fail(kernel::ResultCode::UpstreamBroken);
+                continue;
+            }
+            last.head(status, { { "proof", "p" } });
+            if (!last.cancelled) {
+                last.body("no event");
+                last.complete();
+            }
+        }
+        EXPECT_EQ(site.http.sends.size(), 3U);
+        EXPECT_EQ(caller->body, firstEvent);
+        EXPECT_TRUE(caller->aborted) << "it must not look complete";
+    }
+}
+
 TEST(JobTest, ACutStreamThatCantGoOnBreaksOff)
 {
     Site site;
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -86,6 +86,38 @@
     EXPECT_EQ(rollout.state, RolloutState::Completed);
 }
 
+// However traffic comes, the target gets no more than the operators' usual bound of 15% by the end.
+TEST(RolloutPlan, TheTargetsPartStaysSmallUntilTheEnd)
+{
+    RolloutEvidence evidence;
+    Rollout rollout = running(0);
+    double exposed = 0;
+    int steps = 0;
+    for (kernel::Duration time{}; time < wanted; time += 50ms) {
+        if (const auto step = nextStep(rollout, evidence, 3, 3, at(time))) {
+            rollout.state = step->state;
+            rollout.sharePermille = step->sharePermille;
+        }
+        exposed += rollout.sharePermille / 1000.0;
+        ++steps;
+    }
+    EXPECT_EQ(rollout.state, RolloutState::Completed);
+    EXPECT_LT(exposed / steps, 0.15);
+}
+
+TEST(RolloutPlan, FewUpstreamsCarryASmallShareAtFullLoad)
+{
+    std::vector<Upstream> upstreams(12);
+    std::vector<const Upstream *> target;
+    for (const Upstream &upstream : upstreams)
+        target.push_back(&upstream);
+    EXPECT_EQ(canaries(target, 100).size(), 2U);
+    EXPECT_EQ(canaries(target, 330).size(), 4U);
+    EXPECT_EQ(canaries(target, 1000).size(), 12U);
+    EXPECT_EQ(canaries({ target[0] }, 100).size(), 1U);
+    EXPECT_EQ(canaries(target, 200)[0], target[0]) << "the same on every daemon";
+}
+
 TEST(RolloutPlan, WaitsForUpstreamsOfTheTarget)
 {
     EXPECT_FALSE(nextStep(running(0), {}, 0, 3, at(wanted)).has_value());
--- /dev/null
+++ b/tools/hunt.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Plays the days of a site of the users' bench and prints one table: what broke, with the command that
+# plays it again, then the worst days.
+#   tools/hunt.sh SITE.toml [DAYS] [JOBS]
+# The bench is named by ACACIASAIL_BENCH, or found beside the users' pages.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+site=$1
+days=${2:-40}
+jobs=${3:-3}
+bench=${ACACIASAIL_BENCH:-../given/kit/more/system/bin/fleetbench}
+out=$(mktemp)
+trap 'rm -f "$out"' EXIT
+
+"$bench" hunt "$site" --days "$days" --jobs "$jobs" --why "${WHY:-hunt}" >"$out" 2>&1 || true
+for day in deploy/days/*.toml; do
+    "$bench" run "$site" "$day" --jobs "$jobs" --why "${WHY:-hunt}: own day" >>"$out" 2>&1 || true
+done
+echo "== $(basename "$site"): $(grep -cE '^[a-z].* [0-9]+/[0-9]+ +[0-9.]+ ' "$out") days played"
+echo "-- broken, or not played:"
+grep -E 'BROKEN|FAULT|exits of its own|couldn.t|doesn.t fit|unknown' "$out" | cut -c1-230 || true
+echo "-- first of each kind:"
+grep -A9 -E '^the first that is wrong|^[A-Z]+ at [0-9.]+ s:' "$out" | cut -c1-200 | head -60 || true
+echo "-- least served:"
+grep -E '^[a-z].* [0-9]+/[0-9]+ +[0-9.]+ ' "$out" | sort -k5,5 | head -5 | cut -c1-200 || true
