--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -12,6 +12,7 @@
 #include "forwarding/internal/eventsplitter.h"
 #include "forwarding/internal/forwarder.h"
 #include "forwarding/internal/job.h"
+#include "forwarding/internal/lanes.h"
 #include "forwarding/internal/modelchoice.h"
 #include "forwarding/internal/patience.h"
 #include "forwarding/internal/retrybudget.h"
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -67,7 +67,10 @@
     if (change == DirectoryChange::None)
         return;
     logConfiguration(m_state.directory, change);
-    if (change != DirectoryChange::Stale && m_onConfiguration)
+    if (change == DirectoryChange::Stale)
+        return;
+    m_state.tightestObjectives = tightestObjectives(*m_state.directory.configuration);
+    if (m_onConfiguration)
         m_onConfiguration(*m_state.directory.configuration);
 }
 
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -138,6 +138,10 @@
         return false;
     }
     m_service = *service;
+    if (m_request.work) {
+        m_lane = laneOf(m_state.tightestObjectives, m_service, m_route);
+        noteWork(m_state.laneWork[m_service], m_lane, expectedWork(*m_request.work));
+    }
     m_attempts = { m_route.kind, m_route.resumable, m_route.maxAttempts };
     m_fingerprint = kernel::hash64(
         m_request.body, kernel::hash64(m_request.target, kernel::hash64(m_workspace.str())));
@@ -186,6 +190,8 @@
     query.affinity = m_session;
     query.work = m_request.work ? expectedWork(*m_request.work) : 1;
     query.ownDataCentre = m_state.options.dataCentre;
+    query.lane = m_lane;
+    query.patientPart = patientPart(m_state.laneWork[m_service]);
     query.exclude = &m_tried;
     query.now = now();
     const auto candidates = candidatesOf(m_state.directory, m_service, version);
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -83,6 +83,7 @@
     int m_rank = 0;
     kernel::ServiceName m_service;
     std::string m_session;
+    Lane m_lane = Lane::Any;
     RequestFingerprint m_fingerprint = 0;
     kernel::Instant m_now{};
     kernel::Instant m_end{};
--- /dev/null
+++ b/src/forwarding/internal/lanes.cpp
@@ -0,0 +1,93 @@
+#include "forwarding/internal/lanes.h"
+
+#include <algorithm>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// A route is patient when its objective is this many times the service's smallest.
+constexpr double patientFactor = 2;
+// Among fewer upstreams a daemon's own requests show well enough which ones are busy.
+constexpr std::size_t minUpstreamsToDivide = 24;
+constexpr std::size_t minUpstreamsInLane = 2;
+// Part of the recent work that is forgotten with each request.
+constexpr double workDecay = 0.01;
+// Long prompts take more time for each token than short ones.
+constexpr double patientWorkFactor = 1.6;
+constexpr double leastPatientPart = 0.1;
+constexpr double mostPatientPart = 0.9;
+
+bool runsModel(const Configuration &configuration, const kernel::ServiceName &service)
+{
+    const auto found = configuration.services.find(service);
+    return found != configuration.services.end() && found->second.memoryTokens > 0;
+}
+
+// A point between 0 and 1 that is the upstream's own.
+double pointOf(const Upstream &upstream)
+{
+    return static_cast<double>(kernel::hash64(upstream.id.str()) >> 11U) * 0x1.0p-53;
+}
+
+} // namespace
+
+TightestObjectives tightestObjectives(const Configuration &configuration)
+{
+    TightestObjectives result;
+    for (const Route &route : configuration.routes) {
+        for (const ServiceShare &share : route.services) {
+            if (!runsModel(configuration, share.service))
+                continue;
+            kernel::Duration &least
+                = result.try_emplace(share.service, route.latencyObjective).first->second;
+            least = std::min(least, route.latencyObjective);
+        }
+    }
+    return result;
+}
+
+Lane laneOf(const TightestObjectives &tightest, const kernel::ServiceName &service,
+            const Route &route)
+{
+    const auto found = tightest.find(service);
+    if (found == tightest.end())
+        return Lane::Any;
+    const double least = kernel::toSeconds(found->second);
+    return kernel::toSeconds(route.latencyObjective) >= patientFactor * least ? Lane::Patient
+                                                                              : Lane::Tight;
+}
+
+void noteWork(LaneWork &recent, Lane lane, double work)
+{
+    recent.tight *= 1 - workDecay;
+    recent.patient *= 1 - workDecay;
+    if (lane == Lane::Tight)
+        recent.tight += work;
+    if (lane == Lane::Patient)
+        recent.patient += work;
+}
+
+double patientPart(const LaneWork &recent)
+{
+    if (recent.patient <= 0)
+        return 0;
+    const double patient = recent.patient * patientWorkFactor;
+    return std::clamp(patient / (patient + recent.tight), leastPatientPart, mostPatientPart);
+}
+
+std::vector<const Upstream *> laneUpstreams(std::vector<const Upstream *> upstreams, Lane lane,
+                                            double patientPart)
+{
+    if (lane == Lane::Any || patientPart <= 0 || upstreams.size() < minUpstreamsToDivide)
+        return upstreams;
+    std::vector<const Upstream *> result;
+    for (const Upstream *upstream : upstreams) {
+        const bool takesPatient = pointOf(*upstream) < patientPart;
+        if (takesPatient == (lane == Lane::Patient))
+            result.push_back(upstream);
+    }
+    return result.size() < minUpstreamsInLane ? upstreams : result;
+}
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -6,6 +6,7 @@
 
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
+#include "forwarding/internal/lanes.h"
 #include "forwarding/internal/modelchoice.h"
 #include "forwarding/internal/patience.h"
 #include "forwarding/internal/retrybudget.h"
@@ -65,6 +66,9 @@
 
     Directory directory;
     UpstreamRecords records;
+    /// Follows from the configuration in force.
+    TightestObjectives tightestObjectives;
+    std::map<kernel::ServiceName, LaneWork> laneWork;
     UsualTimes usual;
     std::map<kernel::ServiceName, RetryBudget> budgets;
     /// Share of failures of each service's answers, with decay.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -131,6 +131,7 @@
         return { upstream,
                  upstream != nullptr ? ChoiceReason::AvoidedIgnored : ChoiceReason::None };
     }
+    open = laneUpstreams(std::move(open), query.lane, query.patientPart);
     if (!query.affinity.empty())
         return chooseByAffinity(std::move(open), records, query, random);
     return chooseNear(open, records, query, random);
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "forwarding/internal/lanes.h"
 #include "forwarding/internal/types.h"
 
 namespace acaciasail::forwarding {
@@ -38,6 +39,9 @@
     /// Expected work of the request; 1 for plain services.
     double work = 1;
     kernel::DataCentreId ownDataCentre;
+    Lane lane = Lane::Any;
+    /// Part of the upstreams that patient requests use.
+    double patientPart = 0;
     /// Upstreams that had this request already.
     const std::set<kernel::UpstreamId> *exclude = nullptr;
     kernel::Instant now{};
