Drain: idle connections end with the process, so that no arriving request is cut

Cause: from 2.8 s after SIGTERM idle connections were shut for reading at each tick. A request whose bytes had arrived and were not read yet was still read and passed on; the check for callers that hung up then took the shut connection for a caller that had left, and cut the answer. Change: connections end with their next answer; the process ends when no request has been in progress for 200 ms, and idle connections with it. closeIdleConnections goes.

--- a/src/app/router/main.cpp
+++ b/src/app/router/main.cpp
@@ -1,6 +1,7 @@
 // The router for deployments whose routes, keys and roll-outs the platform holds: acaciasail-router
 // --settings FILE [--check-settings]
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <memory>
@@ -90,6 +91,8 @@
 
 int main(int argc, const char **argv)
 {
+    // A reload that is asked for before the settings are read is done by reading them.
+    std::signal(SIGHUP, SIG_IGN);
     Options options;
     if (!readOptions(argc, argv, options))
         return exitUsage;
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -14,6 +14,8 @@
 constexpr int httpUnavailable = 503;
 constexpr kernel::Duration settingsCheckInterval = std::chrono::seconds(1);
 constexpr kernel::Duration drainCheckInterval = std::chrono::milliseconds(50);
+// The process may end when no request has been in progress for this time.
+constexpr kernel::Duration quietTime = std::chrono::milliseconds(200);
 // What is left of the stop's time for the process's own end.
 constexpr kernel::Duration stopMargin = std::chrono::milliseconds(400);
 
@@ -178,9 +180,12 @@
 }
 
 // Until the balancer has noticed, new connections come and are served; after that connections end
-// with their answers, idle ones are closed, and what can't be finished is sent to another daemon.
+// with their answers, and what can't be finished is sent to another daemon. Idle connections end
+// with the process: closing one of them sooner would cut the request that is just arriving on it.
 void Router::checkStop()
 {
+    if (m_forwarder.inProgress() > 0)
+        m_lastBusy = m_loop.scheduler().now();
     const kernel::Duration since = m_loop.scheduler().now() - *m_stoppingSince;
     if (since >= m_settings.balancerDelay) {
         if (!std::exchange(m_endingConnections, true)) {
@@ -190,9 +195,8 @@
         // The balancer sends new connections here only if it has nobody else.
         const bool alone = m_callers->connectionsAccepted() > m_acceptedAtDrain;
         m_forwarder.endBy(*m_stoppingSince + m_settings.stopTimeout - stopMargin, alone);
-        m_callers->closeIdleConnections();
-        const bool idle = m_callers->connections() == 0 && m_forwarder.inProgress() == 0;
-        if (idle || since >= m_settings.stopTimeout - stopMargin) {
+        if (m_loop.scheduler().now() - m_lastBusy >= quietTime
+            || since >= m_settings.stopTimeout - stopMargin) {
             kernel::logEvent(kernel::EventId::DrainFinished,
                              { { "in_progress", m_forwarder.inProgress() },
                                { "connections", m_callers->connections() },
--- a/src/app/router/router.h
+++ b/src/app/router/router.h
@@ -65,6 +65,7 @@
     std::unique_ptr<http::Server> m_readiness;
     std::unique_ptr<http::Server> m_metrics;
     std::optional<kernel::Instant> m_stoppingSince;
+    kernel::Instant m_lastBusy{};
     bool m_stopped = false;
     bool m_endingConnections = false;
     std::uint64_t m_acceptedAtDrain = 0;
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -313,19 +313,6 @@
     h2o_context_request_shutdown(&m_impl->context);
 }
 
-void Server::closeIdleConnections()
-{
-    std::unordered_set<int> busy;
-    for (const auto &[responder, entry] : m_impl->inProgress)
-        busy.insert(responder->descriptor());
-    for (const Impl::Connection *connection : m_impl->connections) {
-        const int fd = h2o_socket_get_fd(connection->socket);
-        // What has arrived and was not read yet is still read and answered.
-        if (!busy.contains(fd))
-            shutdown(fd, SHUT_RD);
-    }
-}
-
 std::size_t Server::requestsInProgress() const
 {
     return m_impl->inProgress.size();
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -82,8 +82,6 @@
     void setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout);
     /// Answers end their connections from now on; new connections are still taken.
     void endConnectionsAfterAnswers();
-    /// Closes the connections on which no request is in progress.
-    void closeIdleConnections();
     /// Requests whose answers are not finished.
     std::size_t requestsInProgress() const;
     std::size_t connections() const;
