--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -4,17 +4,13 @@
 #include <cmath>
 #include <utility>
 
-#include "forwarding/internal/routematch.h"
+#include "forwarding/internal/requestreport.h"
 
 namespace acaciasail::forwarding {
 
 namespace {
 
-constexpr int httpOk = 200;
 constexpr int firstErrorStatus = 400;
-constexpr int badRequest = 400;
-constexpr int unauthorized = 401;
-constexpr int notFound = 404;
 constexpr int unavailable = 503;
 constexpr int firstServerError = 500;
 
@@ -30,13 +26,6 @@
 // again.
 constexpr kernel::Duration maxIdleUnsafe = std::chrono::milliseconds(300);
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
-// A silent upstream is given up, if the request may be sent elsewhere, after what is unusual within
-// these bounds: before the first byte in parts of the route's objective, later in parts of the
-// pause that is still on time.
-constexpr double leastSilentObjectives = 0.35;
-constexpr double mostSilentObjectives = 2.5;
-constexpr double leastSilentPauses = 1.0;
-constexpr double mostSilentPauses = 3;
 // Longest part of the time left that a connect may take.
 constexpr int connectPart = 3;
 constexpr double failureShareDecay = 0.02;
@@ -44,17 +33,6 @@
 // together.
 constexpr double retryAfterMinSeconds = 0.2;
 constexpr double retryAfterSpreadSeconds = 0.6;
-// A daemon that starts has read the store within this time, unless the store is away.
-constexpr kernel::Duration startRetryAfter = std::chrono::milliseconds(250);
-// Another daemon takes what this one refuses while it stops.
-constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
-// From a process's end until it takes requests again.
-constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
-
-kernel::Duration scaled(kernel::Duration duration, double factor)
-{
-    return kernel::fromSeconds(kernel::toSeconds(duration) * factor);
-}
 
 } // namespace
 
@@ -64,7 +42,6 @@
     , m_request(std::move(request))
     , m_responder(std::move(responder))
     , m_onDone(std::move(onDone))
-    , m_now(m_request.arrived)
 {}
 
 void Job::start()
@@ -75,126 +52,62 @@
         if (const auto job = weak.lock())
             job->onCallerGone();
     });
-    if (!accept())
+    std::optional<Refusal> refusal = planRequest(m_state, m_request, m_plan);
+    if (refusal) {
+        refuse(refusal->status, refusal->reason, refusal->retryAfter);
         return;
+    }
+    m_attempts = { m_plan.route.kind, m_plan.route.resumable, m_plan.route.maxAttempts };
+    m_model = m_plan.firstModel;
     m_end = m_request.arrived
-            + std::min(m_request.patience.value_or(m_route.timeout), m_route.timeout)
+            + std::min(m_request.patience.value_or(m_plan.route.timeout), m_plan.route.timeout)
             - answerMargin;
     m_deadline
         = kernel::Timer(m_state.scheduler, m_end - m_request.arrived, [this] { onDeadline(); });
-    noteRequest(m_state.budgets[m_service], m_state.options.retries, now());
+    noteRequest(m_state.budgets[m_plan.service], m_state.options.retries, now());
     tryNext();
 }
 
-// Checks the request against the configuration; answers it if it can't be served.
-bool Job::accept()
-{
-    if (m_request.id.empty()) {
-        refuse(badRequest, "request_id_missing", {});
-        return false;
-    }
-    if (!canServe(m_state.directory)) {
-        refuse(unavailable, "no_configuration", startRetryAfter);
-        return false;
-    }
-    m_configuration = m_state.directory.configuration;
-    const Route *route = matchRoute(*m_configuration, m_request.host, m_request.target);
-    if (route == nullptr) {
-        refuse(notFound, "route_unknown", {});
-        return false;
-    }
-    m_route = *route;
-    if (!canFinish(m_state, m_route, now())) {
-        const kernel::Duration untilBack = *m_state.endsAt - now() + restartTime;
-        refuse(unavailable, "stopping", m_state.alone ? untilBack : stoppingRetryAfter);
-        return false;
-    }
-    m_rank = route->rank;
-    const bool keysInUse = !m_configuration->workspaces.empty();
-    if (keysInUse && (route->needsKey || !m_request.key.empty())) {
-        const Workspace *workspace = findWorkspace(*m_configuration, m_request.key);
-        if (workspace == nullptr && route->needsKey) {
-            refuse(unauthorized, "key_unknown", {});
-            return false;
-        }
-        if (workspace != nullptr) {
-            m_workspace = workspace->name;
-            m_rank = workspace->rank.value_or(m_rank);
-        }
-    }
-    if (m_request.work) {
-        const std::vector<PromptPart> &parts = m_request.work->parts;
-        // The last part is mostly the request's own; the one before it is what its session shares.
-        if (!parts.empty())
-            m_session = parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
-        m_model = firstModel(m_route, *m_request.work);
-    }
-    const double point = m_session.empty()
-                             ? kernel::uniform01(m_state.random)
-                             : static_cast<double>(kernel::hash64(m_session) >> 11U) * 0x1.0p-53;
-    const kernel::ServiceName *service = pickService(m_route, point);
-    if (service == nullptr) {
-        refuse(unavailable, "route_without_service", std::chrono::seconds(1));
-        return false;
-    }
-    m_service = *service;
-    if (m_request.work) {
-        m_lane = laneOf(m_state.tightestObjectives, m_service, m_route);
-        noteWork(m_state.laneWork[m_service], m_lane, expectedWork(*m_request.work));
-    }
-    m_attempts = { m_route.kind, m_route.resumable, m_route.maxAttempts };
-    m_fingerprint = kernel::hash64(
-        m_request.body, kernel::hash64(m_request.target, kernel::hash64(m_workspace.str())));
-    if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
-        kernel::logEvent(kernel::EventId::PoisonRefused,
-                         { { "request", m_request.id }, { "route", m_route.name } });
-        refuse(finalStatus({ .mayHaveRun = true }, EndReason::Failed), "crashes_upstreams", {});
-        return false;
-    }
-    return true;
-}
-
 kernel::Duration Job::timeLeft() const
 {
-    return m_end - m_state.scheduler.now();
+    return m_end - now();
 }
 
 VersionChoice Job::versionForSession() const
 {
-    const auto rollout = m_state.directory.rollouts.find(m_service);
+    const auto rollout = m_state.directory.rollouts.find(m_plan.service);
     if (rollout == m_state.directory.rollouts.end())
         return VersionChoice::Any;
-    const auto evidence = m_state.evidence.find(m_service);
+    const auto evidence = m_state.evidence.find(m_plan.service);
     if (evidence != m_state.evidence.end() && evidence->second.condemned
         && evidence->second.target == rollout->second.target)
         return VersionChoice::Old;
     // Requests without a session are divided by their id.
-    const std::string &session = m_session.empty() ? m_request.id.str() : m_session;
+    const std::string &session = m_plan.session.empty() ? m_request.id.str() : m_plan.session;
     return chooseVersion(rollout->second, session);
 }
 
 void Job::tryNext(bool budgetTaken)
 {
-    m_now = m_state.scheduler.now();
     if (timeLeft() < minAttemptTime) {
         onDeadline();
         return;
     }
     if (m_attempts.sent > 0 && !budgetTaken
-        && !takeRepeat(m_state.budgets[m_service], m_state.options.retries, now())) {
+        && !takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now())) {
         endWithout(EndReason::Failed, "retry_budget_spent");
         return;
     }
     const VersionChoice version = versionForSession();
     UpstreamQuery query;
-    query.affinity = m_session;
+    query.affinity = m_plan.session;
     query.work = m_request.work ? expectedWork(*m_request.work) : 1;
     query.ownDataCentre = m_state.options.dataCentre;
-    query.lane = m_lane;
-    query.patientPart = patientPart(m_state.laneWork[m_service]);
+    query.lane = m_plan.lane;
+    query.patientPart = patientPart(m_state.laneWork[m_plan.service]);
     query.exclude = &m_tried;
     query.now = now();
-    const auto candidates = candidatesOf(m_state.directory, m_service, version);
+    const auto candidates = candidatesOf(m_state.directory, m_plan.service, version);
     UpstreamChoice choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
     if (choice.upstream == nullptr && !m_tried.empty()) {
         // All had it; one that refused or broke may take it now.
@@ -211,7 +124,7 @@
 void Job::begin(const UpstreamChoice &choice)
 {
     const Upstream &upstream = *choice.upstream;
-    const auto rollout = m_state.directory.rollouts.find(m_service);
+    const auto rollout = m_state.directory.rollouts.find(m_plan.service);
     Attempt attempt;
     attempt.upstream = upstream.id;
     attempt.endpoint = upstream.endpoint;
@@ -227,25 +140,25 @@
     AttemptFacts facts;
     facts.endpoint = upstream.endpoint;
     facts.upstream = upstream.id;
-    facts.workspace = m_workspace;
+    facts.workspace = m_plan.workspace;
     facts.timeLeft = timeLeft();
     facts.model = m_model;
-    facts.urgency = engineUrgency(m_route.rank, m_rank);
+    facts.urgency = engineUrgency(m_plan.route.rank, m_plan.rank);
     facts.resumeAfter = m_lastEventId;
-    const bool mayBeLost = m_route.kind == RequestKind::Safe || m_route.resumable;
+    const bool mayBeLost = m_plan.route.kind == RequestKind::Safe || m_plan.route.resumable;
     facts.maxIdle = mayBeLost ? maxIdleSafe : maxIdleUnsafe;
     facts.connectTimeout = std::min(m_state.options.connectTimeout, timeLeft() / connectPart);
 
     kernel::logEvent(kernel::EventId::UpstreamChosen,
                      { { "request", m_request.id },
-                       { "route", m_route.name },
+                       { "route", m_plan.route.name },
                        { "upstream", upstream.id },
                        { "version", upstream.version },
                        { "model", m_model },
                        { "reason", toString(choice.reason) },
                        { "in_flight", m_state.records[upstream.id].inFlight },
                        { "send", m_attempts.sent + 1 },
-                       { "session", m_session },
+                       { "session", m_plan.session },
                        { "left_ms", kernel::toMilliseconds(timeLeft()) } });
     m_attempt = std::move(attempt);
     m_tried.insert(upstream.id);
@@ -265,25 +178,15 @@
 {
     noteSent(m_attempts);
     m_attempt->sent = true;
-    m_attempt->lastActivity = m_state.scheduler.now();
+    m_attempt->lastActivity = now();
     if (mayRepeat(m_attempts))
         armSilence(silenceAllowed());
 }
 
-// The time for which an upstream may say nothing before the request goes elsewhere.
 kernel::Duration Job::silenceAllowed() const
 {
-    const bool midway = m_attempt->firstByteSeen;
-    const auto &times = midway ? m_state.usual.betweenEvents : m_state.usual.firstByte;
-    const auto known = times.find({ m_route.name, m_attempt->model });
-    const UsualTime *usual = known == times.end() ? nullptr : &known->second;
-    if (midway) {
-        return patienceFor(usual, { scaled(m_route.maxPause, leastSilentPauses),
-                                    scaled(m_route.maxPause, mostSilentPauses) });
-    }
-    const kernel::Duration most
-        = std::min(scaled(m_route.latencyObjective, mostSilentObjectives), timeLeft() / 2);
-    return patienceFor(usual, { scaled(m_route.latencyObjective, leastSilentObjectives), most });
+    return allowedSilence(m_state.usual, m_plan.route, m_attempt->model, m_attempt->firstByteSeen,
+                          timeLeft());
 }
 
 void Job::armSilence(kernel::Duration delay)
@@ -296,7 +199,7 @@
     const auto self = shared_from_this();
     if (!m_attempt)
         return;
-    const kernel::Duration silent = m_state.scheduler.now() - m_attempt->lastActivity;
+    const kernel::Duration silent = now() - m_attempt->lastActivity;
     const kernel::Duration allowed = silenceAllowed();
     if (silent < allowed) {
         armSilence(allowed - silent);
@@ -312,7 +215,7 @@
 void Job::onHead(const http::ClientHead &clientHead)
 {
     const auto self = shared_from_this();
-    m_attempt->lastActivity = m_state.scheduler.now();
+    m_attempt->lastActivity = now();
     AnswerHead head = m_state.wire.decodeHead(clientHead);
     if (head.wrongUpstream || head.notRun) {
         noteRefused(m_attempts, m_attempt->ranBefore);
@@ -330,7 +233,7 @@
         failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
         return;
     }
-    noteTime(m_state.usual.firstByte[{ m_route.name, m_attempt->model }],
+    noteTime(m_state.usual.firstByte[{ m_plan.route.name, m_attempt->model }],
              m_attempt->lastActivity - m_attempt->begun);
     m_attempt->head = std::move(head);
     if (m_attempt->head->status < firstErrorStatus && !m_attempts.answerBegun && escalate())
@@ -342,13 +245,12 @@
 {
     if (!m_request.work || m_escalated || !mayRepeat(m_attempts))
         return false;
-    const kernel::Instant objectiveEnd = m_request.arrived + m_route.latencyObjective;
+    const kernel::Instant objectiveEnd = m_request.arrived + m_plan.route.latencyObjective;
     const std::string larger = escalateTo(
-        m_route, m_state.options.models, *m_request.work, m_model, m_attempt->head->confidence,
-        m_attempts.maxAttempts - m_attempts.sent, objectiveEnd - m_state.scheduler.now());
+        m_plan.route, m_state.options.models, *m_request.work, m_model, m_attempt->head->confidence,
+        m_attempts.maxAttempts - m_attempts.sent, objectiveEnd - now());
     if (larger.empty()
-        || !takeRepeat(m_state.budgets[m_service], m_state.options.retries,
-                       m_state.scheduler.now()))
+        || !takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now()))
         return false;
     kernel::logEvent(kernel::EventId::CascadeEscalated,
                      { { "request", m_request.id },
@@ -368,9 +270,9 @@
 void Job::onBody(std::string_view piece)
 {
     const auto self = shared_from_this();
-    const kernel::Instant at = m_state.scheduler.now();
+    const kernel::Instant at = now();
     if (m_attempt->firstByteSeen)
-        noteTime(m_state.usual.betweenEvents[{ m_route.name, m_attempt->model }],
+        noteTime(m_state.usual.betweenEvents[{ m_plan.route.name, m_attempt->model }],
                  at - m_attempt->lastActivity);
     m_attempt->lastActivity = at;
     const AnswerHead &head = *m_attempt->head;
@@ -416,7 +318,7 @@
     if (m_attempts.answerBegun)
         return;
     m_attempts.answerBegun = true;
-    m_firstByteAt = m_state.scheduler.now();
+    m_firstByteAt = now();
     m_responder->start(m_attempt->head->status, m_attempt->head->headers);
 }
 
@@ -459,7 +361,7 @@
     }
     if (!m_attempt->firstByteSeen)
         noteEvidence(false);
-    noteRan(m_state.crashes, m_fingerprint);
+    noteRan(m_state.crashes, m_plan.fingerprint);
     closeAttempt(RunOutcome::Good);
     deliverWhole();
 }
@@ -474,7 +376,7 @@
             m_responder->write(m_attempt->body);
         m_responder->finish();
     } else {
-        m_firstByteAt = m_state.scheduler.now();
+        m_firstByteAt = now();
         m_responder->send(status, head.headers, m_attempt->body);
     }
     finish(status, "answered");
@@ -486,16 +388,16 @@
     m_silence.cancel();
     m_exchange = nullptr;
     const bool judged = outcome == RunOutcome::Good || outcome == RunOutcome::Failed;
-    double &share = m_state.failureShares[m_service];
+    double &share = m_state.failureShares[m_plan.service];
     if (judged)
         share += failureShareDecay * ((outcome == RunOutcome::Failed ? 1 : 0) - share);
     const auto record = m_state.records.find(m_attempt->upstream);
     if (record == m_state.records.end())
         return;
-    if (noteEnd(record->second, outcome, m_attempt->work, share, m_state.scheduler.now())) {
+    if (noteEnd(record->second, outcome, m_attempt->work, share, now())) {
         kernel::logEvent(kernel::EventId::UpstreamEjected,
                          { { "upstream", m_attempt->upstream },
-                           { "service", m_service },
+                           { "service", m_plan.service },
                            { "request", m_request.id },
                            { "ejections", record->second.ejections } });
     }
@@ -503,11 +405,11 @@
 
 void Job::noteEvidence(bool failed)
 {
-    const kernel::Instant at = m_state.scheduler.now();
-    const auto evidence = m_state.evidence.find(m_service);
+    const kernel::Instant at = now();
+    const auto evidence = m_state.evidence.find(m_plan.service);
     if (evidence == m_state.evidence.end())
         return;
-    noteAnswer(evidence->second, { m_route.name, m_attempt->model }, m_attempt->upstream,
+    noteAnswer(evidence->second, { m_plan.route.name, m_attempt->model }, m_attempt->upstream,
                m_attempt->onTarget, failed,
                failed ? std::nullopt : std::optional(at - m_attempt->begun));
 }
@@ -516,16 +418,15 @@
 {
     const auto self = shared_from_this();
     m_state.metrics.attempts(toString(failure)).add();
-    kernel::logEvent(
-        kernel::EventId::AttemptFailed,
-        { { "request", m_request.id },
-          { "route", m_route.name },
-          { "upstream", m_attempt->upstream },
-          { "failure", toString(failure) },
-          { "detail", detail },
-          { "send", m_attempts.sent },
-          { "may_have_run", m_attempts.mayHaveRun },
-          { "took_ms", kernel::toMilliseconds(m_state.scheduler.now() - m_attempt->begun) } });
+    kernel::logEvent(kernel::EventId::AttemptFailed,
+                     { { "request", m_request.id },
+                       { "route", m_plan.route.name },
+                       { "upstream", m_attempt->upstream },
+                       { "failure", toString(failure) },
+                       { "detail", detail },
+                       { "send", m_attempts.sent },
+                       { "may_have_run", m_attempts.mayHaveRun },
+                       { "took_ms", kernel::toMilliseconds(now() - m_attempt->begun) } });
     switch (failure) {
     case AttemptFailure::Refused:
         closeAttempt(RunOutcome::Full);
@@ -535,7 +436,7 @@
         closeAttempt(RunOutcome::Broken);
         break;
     case AttemptFailure::Lost:
-        noteCrash(m_state.crashes, m_fingerprint, m_attempt->upstream, m_state.scheduler.now());
+        noteCrash(m_state.crashes, m_plan.fingerprint, m_attempt->upstream, now());
         closeAttempt(RunOutcome::Broken);
         break;
     case AttemptFailure::Garbled:
@@ -543,8 +444,7 @@
         closeAttempt(RunOutcome::Failed);
         break;
     }
-    m_now = m_state.scheduler.now();
-    if (crashesUpstreams(m_state.crashes, m_fingerprint, now())) {
+    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint, now())) {
         endWithout(EndReason::Failed, "crashes_upstreams");
         return;
     }
@@ -612,33 +512,14 @@
     m_deadline.cancel();
     m_silence.cancel();
     m_exchange = nullptr;
-    const kernel::Instant at = m_state.scheduler.now();
-    const std::string kind(toString(m_route.kind));
-    m_state.metrics.requests(m_route.name.str(), status).add();
-    if (status >= httpOk && status < firstErrorStatus) {
-        m_state.metrics.firstByte(kind).add(m_firstByteAt - m_request.arrived);
-        m_state.metrics.whole(kind).add(at - m_request.arrived);
-        noteAnswerTime(m_state, m_route.name, at - m_request.arrived);
-    }
-    kernel::logEvent(
-        kernel::EventId::RequestFinished,
-        { { "request", m_request.id },
-          { "route", m_route.name },
-          { "workspace", m_workspace },
-          { "status", status },
-          { "outcome", outcome },
-          { "upstream", m_lastUpstream },
-          { "model", m_model },
-          { "sends", m_attempts.sent },
-          { "may_have_run", m_attempts.mayHaveRun },
-          { "configuration", m_configuration ? m_configuration->number.count() : 0 },
-          { "configuration_age_ms",
-            m_configuration ? kernel::toMilliseconds(at - m_state.directory.configuredAt) : -1 },
-          { "store_away", m_state.directory.storeAway },
-          { "first_ms", m_firstByteAt == kernel::Instant{}
-                            ? -1
-                            : kernel::toMilliseconds(m_firstByteAt - m_request.arrived) },
-          { "took_ms", kernel::toMilliseconds(at - m_request.arrived) } });
+    reportFinish(m_state, m_request, m_plan,
+                 { .status = status,
+                   .outcome = outcome,
+                   .upstream = m_lastUpstream,
+                   .model = m_model,
+                   .sends = m_attempts.sent,
+                   .mayHaveRun = m_attempts.mayHaveRun,
+                   .firstByteAt = m_firstByteAt });
     const auto onDone = std::move(m_onDone);
     onDone(this);
 }
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -7,6 +7,7 @@
 
 #include "forwarding/internal/attemptstate.h"
 #include "forwarding/internal/eventsplitter.h"
+#include "forwarding/internal/requestplan.h"
 #include "forwarding/internal/state.h"
 
 namespace acaciasail::forwarding {
@@ -42,8 +43,7 @@
         bool firstByteSeen = false;
     };
 
-    bool accept();
-    const kernel::Instant &now() const { return m_now; }
+    kernel::Instant now() const { return m_state.scheduler.now(); }
     kernel::Duration timeLeft() const;
     kernel::Duration silenceAllowed() const;
 
@@ -77,15 +77,7 @@
     Request m_request;
     std::shared_ptr<http::Responder> m_responder;
     std::function<void(const Job *)> m_onDone;
-    std::shared_ptr<const Configuration> m_configuration;
-    Route m_route;
-    kernel::WorkspaceId m_workspace;
-    int m_rank = 0;
-    kernel::ServiceName m_service;
-    std::string m_session;
-    Lane m_lane = Lane::Any;
-    RequestFingerprint m_fingerprint = 0;
-    kernel::Instant m_now{};
+    RequestPlan m_plan;
     kernel::Instant m_end{};
     kernel::Timer m_deadline;
     kernel::Timer m_silence;
--- a/src/forwarding/internal/patience.cpp
+++ b/src/forwarding/internal/patience.cpp
@@ -13,6 +13,13 @@
 constexpr double unusualDeviations = 8;
 constexpr int minSeen = 10;
 
+// Bounds of what is unusual: before the first byte in parts of the route's objective, later in
+// parts of the pause that is still on time.
+constexpr double leastSilentObjectives = 0.35;
+constexpr double mostSilentObjectives = 2.5;
+constexpr double leastSilentPauses = 1.0;
+constexpr double mostSilentPauses = 3;
+
 } // namespace
 
 void noteTime(UsualTime &usual, kernel::Duration took)
@@ -37,4 +44,20 @@
     return std::clamp(kernel::fromSeconds(seconds), bounds.least, most);
 }
 
+kernel::Duration allowedSilence(const UsualTimes &usual, const Route &route,
+                                const std::string &model, bool midway, kernel::Duration timeLeft)
+{
+    const auto &times = midway ? usual.betweenEvents : usual.firstByte;
+    const auto known = times.find({ route.name, model });
+    const UsualTime *time = known == times.end() ? nullptr : &known->second;
+    if (midway) {
+        return patienceFor(time, { kernel::scaled(route.maxPause, leastSilentPauses),
+                                   kernel::scaled(route.maxPause, mostSilentPauses) });
+    }
+    const kernel::Duration most
+        = std::min(kernel::scaled(route.latencyObjective, mostSilentObjectives), timeLeft / 2);
+    return patienceFor(time,
+                       { kernel::scaled(route.latencyObjective, leastSilentObjectives), most });
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/patience.h
+++ b/src/forwarding/internal/patience.h
@@ -38,4 +38,9 @@
 /// alone does not make requests move; the longest while nothing is known.
 kernel::Duration patienceFor(const UsualTime *usual, const PatienceBounds &bounds);
 
+/// The time for which an upstream may say nothing before the request goes elsewhere, if it may.
+/// `midway` tells that the stream's first event has come.
+kernel::Duration allowedSilence(const UsualTimes &usual, const Route &route,
+                                const std::string &model, bool midway, kernel::Duration timeLeft);
+
 } // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/requestplan.cpp
@@ -0,0 +1,110 @@
+#include "forwarding/internal/requestplan.h"
+
+#include "forwarding/internal/attemptstate.h"
+#include "forwarding/internal/routematch.h"
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
+constexpr int notFound = 404;
+constexpr int unavailable = 503;
+
+// A daemon that starts has read the store within this time, unless the store is away.
+constexpr kernel::Duration startRetryAfter = std::chrono::milliseconds(250);
+// Another daemon takes what this one refuses while it stops.
+constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
+// From a process's end until it takes requests again.
+constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
+constexpr kernel::Duration noServiceRetryAfter = std::chrono::seconds(1);
+
+std::optional<Refusal> findRoute(const ForwardingState &state, const Request &request,
+                                 RequestPlan &plan)
+{
+    if (request.id.empty())
+        return Refusal{ badRequest, "request_id_missing" };
+    if (!canServe(state.directory))
+        return Refusal{ unavailable, "no_configuration", startRetryAfter };
+    plan.configuration = state.directory.configuration;
+    const Route *route = matchRoute(*plan.configuration, request.host, request.target);
+    if (route == nullptr)
+        return Refusal{ notFound, "route_unknown" };
+    plan.route = *route;
+    plan.rank = route->rank;
+    const kernel::Instant now = request.arrived;
+    if (!canFinish(state, plan.route, now)) {
+        const kernel::Duration untilBack = *state.endsAt - now + restartTime;
+        return Refusal{ unavailable, "stopping", state.alone ? untilBack : stoppingRetryAfter };
+    }
+    return std::nullopt;
+}
+
+std::optional<Refusal> identifyCaller(const Request &request, RequestPlan &plan)
+{
+    const bool keysInUse = !plan.configuration->workspaces.empty();
+    if (!keysInUse || (!plan.route.needsKey && request.key.empty()))
+        return std::nullopt;
+    const Workspace *workspace = findWorkspace(*plan.configuration, request.key);
+    if (workspace == nullptr) {
+        if (plan.route.needsKey)
+            return Refusal{ unauthorized, "key_unknown" };
+        return std::nullopt;
+    }
+    plan.workspace = workspace->name;
+    plan.rank = workspace->rank.value_or(plan.rank);
+    return std::nullopt;
+}
+
+// The last part of a prompt is mostly the request's own; the one before it is what its session
+// shares.
+std::string sessionOf(const ModelWork &work)
+{
+    const std::vector<PromptPart> &parts = work.parts;
+    return parts.empty() ? "" : parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
+}
+
+std::optional<Refusal> chooseService(ForwardingState &state, RequestPlan &plan)
+{
+    const double point = plan.session.empty()
+                             ? kernel::uniform01(state.random)
+                             : static_cast<double>(kernel::hash64(plan.session) >> 11U) * 0x1.0p-53;
+    const kernel::ServiceName *service = pickService(plan.route, point);
+    if (service == nullptr)
+        return Refusal{ unavailable, "route_without_service", noServiceRetryAfter };
+    plan.service = *service;
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<Refusal> planRequest(ForwardingState &state, const Request &request,
+                                   RequestPlan &plan)
+{
+    if (auto refusal = findRoute(state, request, plan))
+        return refusal;
+    if (auto refusal = identifyCaller(request, plan))
+        return refusal;
+    if (request.work) {
+        plan.session = sessionOf(*request.work);
+        plan.firstModel = firstModel(plan.route, *request.work);
+    }
+    if (auto refusal = chooseService(state, plan))
+        return refusal;
+    if (request.work) {
+        plan.lane = laneOf(state.tightestObjectives, plan.service, plan.route);
+        noteWork(state.laneWork[plan.service], plan.lane, expectedWork(*request.work));
+    }
+    plan.fingerprint = kernel::hash64(
+        request.body, kernel::hash64(request.target, kernel::hash64(plan.workspace.str())));
+    if (crashesUpstreams(state.crashes, plan.fingerprint, request.arrived)) {
+        kernel::logEvent(kernel::EventId::PoisonRefused,
+                         { { "request", request.id }, { "route", plan.route.name } });
+        return Refusal{ finalStatus({ .mayHaveRun = true }, EndReason::Failed),
+                        "crashes_upstreams" };
+    }
+    return std::nullopt;
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/requestreport.cpp
@@ -0,0 +1,51 @@
+#include "forwarding/internal/requestreport.h"
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+constexpr int httpOk = 200;
+constexpr int firstErrorStatus = 400;
+
+void count(ForwardingState &state, const Request &request, const RequestPlan &plan,
+           const RequestEnd &end)
+{
+    state.metrics.requests(plan.route.name.str(), end.status).add();
+    if (end.status < httpOk || end.status >= firstErrorStatus)
+        return;
+    const kernel::Duration took = state.scheduler.now() - request.arrived;
+    const std::string kind(toString(plan.route.kind));
+    state.metrics.firstByte(kind).add(end.firstByteAt - request.arrived);
+    state.metrics.whole(kind).add(took);
+    noteAnswerTime(state, plan.route.name, took);
+}
+
+} // namespace
+
+void reportFinish(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                  const RequestEnd &end)
+{
+    count(state, request, plan, end);
+    const kernel::Instant now = state.scheduler.now();
+    const bool known = plan.configuration != nullptr;
+    const bool begun = end.firstByteAt != kernel::Instant{};
+    kernel::logEvent(
+        kernel::EventId::RequestFinished,
+        { { "request", request.id },
+          { "route", plan.route.name },
+          { "workspace", plan.workspace },
+          { "status", end.status },
+          { "outcome", end.outcome },
+          { "upstream", end.upstream },
+          { "model", end.model },
+          { "sends", end.sends },
+          { "may_have_run", end.mayHaveRun },
+          { "configuration", known ? plan.configuration->number.count() : 0 },
+          { "configuration_age_ms",
+            known ? kernel::toMilliseconds(now - state.directory.configuredAt) : -1 },
+          { "store_away", state.directory.storeAway },
+          { "first_ms", begun ? kernel::toMilliseconds(end.firstByteAt - request.arrived) : -1 },
+          { "took_ms", kernel::toMilliseconds(now - request.arrived) } });
+}
+
+} // namespace acaciasail::forwarding
--- /dev/null
+++ b/src/forwarding/internal/requestreport.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "forwarding/internal/requestplan.h"
+
+namespace acaciasail::forwarding {
+
+/// How a request ended.
+struct RequestEnd
+{
+    /// 0 where the caller got no whole answer.
+    int status = 0;
+    std::string_view outcome;
+    /// The last one that it was sent to.
+    std::string upstream;
+    std::string model;
+    int sends = 0;
+    bool mayHaveRun = false;
+    /// Zero where there was none.
+    kernel::Instant firstByteAt{};
+};
+
+/// Counts and logs the end of a request.
+void reportFinish(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                  const RequestEnd &end);
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -11,11 +11,6 @@
 constexpr double longestAnswerMargin = 1.25;
 constexpr kernel::Duration finishSlack = std::chrono::milliseconds(100);
 
-kernel::Duration scaled(kernel::Duration duration, double factor)
-{
-    return kernel::fromSeconds(kernel::toSeconds(duration) * factor);
-}
-
 } // namespace
 
 metrics::Counter &ForwardingMetrics::requests(const std::string &route, int status)
@@ -84,7 +79,7 @@
 void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took)
 {
     kernel::Duration &longest = state.longestAnswers[route];
-    longest = std::max(scaled(longest, longestAnswerDecay), took);
+    longest = std::max(kernel::scaled(longest, longestAnswerDecay), took);
 }
 
 bool canFinish(const ForwardingState &state, const Route &route, kernel::Instant now)
@@ -94,7 +89,7 @@
     const auto known = state.longestAnswers.find(route.name);
     const kernel::Duration longest = known == state.longestAnswers.end()
                                          ? route.timeout
-                                         : scaled(known->second, longestAnswerMargin);
+                                         : kernel::scaled(known->second, longestAnswerMargin);
     return now + longest + finishSlack < *state.endsAt;
 }
 
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cctype>
-#include <list>
-#include <map>
 #include <utility>
 #include <vector>
 
@@ -14,14 +12,13 @@
 #include "http/internal/address.h"
 #include "http/internal/answerparser.h"
 #include "http/internal/h2oheaders.h"
+#include "http/internal/idleconnections.h"
 #include "http/internal/sockettimeouts.h"
 
 namespace acaciasail::http {
 
 namespace {
 
-// Idle connections kept for one endpoint; further ones are closed.
-constexpr std::size_t maxIdlePerEndpoint = 32;
 // Longest time for which a request whose answer is complete may still be on its way.
 constexpr kernel::Duration lingerTime = std::chrono::seconds(1);
 // Part of an upstream's advertised idle time for which its connection is kept.
@@ -53,87 +50,6 @@
         std::atoi(std::string(value->substr(at + parameter.size())).c_str()));
 }
 
-// A socket that is closed when its owner goes.
-struct SocketCloser
-{
-    void operator()(h2o_socket_t *socket) const
-    {
-        socket->data = nullptr;
-        h2o_socket_close(socket);
-    }
-};
-using SocketPtr = std::unique_ptr<h2o_socket_t, SocketCloser>;
-
-} // namespace
-
-// Connections that wait for their next request. Bytes or an end that come meanwhile belong to no
-// request, so either closes the connection.
-class IdleConnections
-{
-public:
-    explicit IdleConnections(const kernel::Scheduler &scheduler)
-        : m_scheduler(scheduler)
-    {}
-    IdleConnections(const IdleConnections &) = delete;
-    IdleConnections &operator=(const IdleConnections &) = delete;
-
-    void put(const kernel::Endpoint &endpoint, SocketPtr socket, kernel::Duration keepFor)
-    {
-        std::list<Idle> &list = m_idle[endpoint];
-        if (list.size() >= maxIdlePerEndpoint)
-            list.pop_front();
-        const kernel::Instant now = m_scheduler.now();
-        list.push_back({ this, endpoint, std::move(socket), now, now + keepFor });
-        Idle &idle = list.back();
-        idle.socket->data = &idle;
-        h2o_socket_read_start(idle.socket.get(), [](h2o_socket_t *sock, const char *) {
-            if (auto *owner = static_cast<Idle *>(sock->data))
-                owner->owner->drop(*owner);
-        });
-    }
-
-    // The connection that was used last, if it was idle for less than the time given.
-    SocketPtr take(const kernel::Endpoint &endpoint, kernel::Duration maxIdle)
-    {
-        const auto found = m_idle.find(endpoint);
-        if (found == m_idle.end())
-            return nullptr;
-        std::list<Idle> &list = found->second;
-        const kernel::Instant now = m_scheduler.now();
-        std::erase_if(list, [now](const Idle &idle) { return idle.keepUntil <= now; });
-        if (list.empty() || now - list.back().since >= maxIdle)
-            return nullptr;
-        SocketPtr socket = std::move(list.back().socket);
-        list.pop_back();
-        socket->data = nullptr;
-        h2o_socket_read_stop(socket.get());
-        return socket;
-    }
-
-    void forget(const kernel::Endpoint &endpoint) { m_idle.erase(endpoint); }
-
-private:
-    struct Idle
-    {
-        IdleConnections *owner;
-        kernel::Endpoint endpoint;
-        SocketPtr socket;
-        kernel::Instant since;
-        kernel::Instant keepUntil;
-    };
-
-    void drop(const Idle &idle)
-    {
-        std::list<Idle> &list = m_idle[idle.endpoint];
-        list.remove_if([&idle](const Idle &other) { return &other == &idle; });
-    }
-
-    const kernel::Scheduler &m_scheduler;
-    std::map<kernel::Endpoint, std::list<Idle>> m_idle;
-};
-
-namespace {
-
 // One request in progress. Its owner holds it through a handle; callbacks hold it while they run.
 class ExchangeState : public std::enable_shared_from_this<ExchangeState>
 {
@@ -496,11 +412,6 @@
     return m_impl->opened;
 }
 
-void Client::forget(const kernel::Endpoint &endpoint)
-{
-    m_impl->idle->forget(endpoint);
-}
-
 std::unique_ptr<Exchange> Client::send(const ClientRequest &request, ClientHandlers handlers)
 {
     auto address = kernel::capture([&] { return toSocketAddress(request.endpoint); });
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -85,8 +85,6 @@
 
     /// Connections that were opened, ever.
     std::uint64_t connectionsOpened() const;
-    /// Closes the idle connections to an endpoint, for its process is gone.
-    void forget(const kernel::Endpoint &endpoint);
 
     /// Sends a request and collects the whole answer; it can't be cancelled.
     void fetch(const ClientRequest &request, kernel::Callback<ClientResponse> callback);
--- a/src/framework/kernel/internal/units.h
+++ b/src/framework/kernel/internal/units.h
@@ -87,4 +87,10 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
 }
 
+/// The part, or the multiple, of a time.
+inline Duration scaled(Duration duration, double factor)
+{
+    return fromSeconds(toSeconds(duration) * factor);
+}
+
 } // namespace acaciasail::kernel
