--- a/src/forwarding/tests/lanes_tests.cpp
+++ b/src/forwarding/tests/lanes_tests.cpp
@@ -32,9 +32,8 @@
 
 std::vector<const Upstream *> pointers(const std::vector<Upstream> &upstreams)
 {
-    std::vector<const Upstream *> result;
-    for (const Upstream &upstream : upstreams)
-        result.push_back(&upstream);
+    std::vector<const Upstream *> result(upstreams.size());
+    std::ranges::transform(upstreams, result.begin(), [](const Upstream &one) { return &one; });
     return result;
 }
 
