--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -156,6 +156,7 @@
                        { "version", upstream.version },
                        { "model", m_model },
                        { "reason", toString(choice.reason) },
+                       { "lane", toString(m_plan.lane) },
                        { "in_flight", m_state.records[upstream.id].inFlight },
                        { "send", m_attempts.sent + 1 },
                        { "session", m_plan.session },
--- a/src/forwarding/internal/lanes.cpp
+++ b/src/forwarding/internal/lanes.cpp
@@ -32,6 +32,19 @@
 
 } // namespace
 
+std::string_view toString(Lane lane)
+{
+    switch (lane) {
+    case Lane::Any:
+        return "any";
+    case Lane::Tight:
+        return "tight";
+    case Lane::Patient:
+        break;
+    }
+    return "patient";
+}
+
 TightestObjectives tightestObjectives(const Configuration &configuration)
 {
     TightestObjectives result;
--- a/src/forwarding/internal/lanes.h
+++ b/src/forwarding/internal/lanes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <string_view>
 #include <vector>
 
 #include "forwarding/internal/types.h"
@@ -17,6 +18,8 @@
     Patient,
 };
 
+std::string_view toString(Lane lane);
+
 /// The smallest latency objective among the routes of each service that runs a model.
 using TightestObjectives = std::map<kernel::ServiceName, kernel::Duration>;
 
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -216,7 +216,6 @@
     bool events = false;
     /// The model's own opinion of its answer, 0 to 100.
     std::optional<int> confidence;
-    std::optional<std::uint64_t> contentLength;
     /// Headers for the caller.
     http::Headers headers;
 };
