Read-through: one pass for the key's upstream, one point of a text, tests on shared forms

- chooseByAffinity sorted all candidates by hash for each request, though only the first with room is taken; it now takes the highest score among those with room: the same choice, one hash an upstream.
- The point of a text stood in requestplan.cpp and lanes.cpp; both call pointOf.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -41,8 +41,7 @@
     {
         if (m_owner.m_stopped)
             return;
-        const kernel::Duration time
-            = kernel::fromSeconds(kernel::uniform01(m_random) * kernel::toSeconds(longestThought));
+        const kernel::Duration time = kernel::scaled(longestThought, kernel::uniform01(m_random));
         m_timer = kernel::Timer(m_owner.m_loop.scheduler(), time, [this] { ask(); });
     }
 
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -236,8 +236,7 @@
 
 kernel::Duration Faults::between(kernel::Duration least, kernel::Duration most)
 {
-    return least
-           + kernel::fromSeconds(kernel::uniform01(m_random) * kernel::toSeconds(most - least));
+    return least + kernel::scaled(most - least, kernel::uniform01(m_random));
 }
 
 } // namespace acaciasail::soak
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -188,12 +188,12 @@
         m_lastBusy = m_loop.scheduler().now();
     const kernel::Duration since = m_loop.scheduler().now() - *m_stoppingSince;
     if (since >= m_settings.balancerDelay) {
-        if (!std::exchange(m_endingConnections, true)) {
+        if (!m_acceptedAtDrain) {
             m_callers->endConnectionsAfterAnswers();
             m_acceptedAtDrain = m_callers->connectionsAccepted();
         }
         // The balancer sends new connections here only if it has nobody else.
-        const bool alone = m_callers->connectionsAccepted() > m_acceptedAtDrain;
+        const bool alone = m_callers->connectionsAccepted() > *m_acceptedAtDrain;
         m_forwarder.endBy(*m_stoppingSince + m_settings.stopTimeout - stopMargin, alone);
         if (m_loop.scheduler().now() - m_lastBusy >= quietTime
             || since >= m_settings.stopTimeout - stopMargin) {
--- a/src/app/router/router.h
+++ b/src/app/router/router.h
@@ -67,8 +67,8 @@
     std::optional<kernel::Instant> m_stoppingSince;
     kernel::Instant m_lastBusy{};
     bool m_stopped = false;
-    bool m_endingConnections = false;
-    std::uint64_t m_acceptedAtDrain = 0;
+    /// Set once connections end with their answers.
+    std::optional<std::uint64_t> m_acceptedAtDrain;
     std::optional<bool> m_toldReady;
     kernel::Timer m_settingsTimer;
     kernel::Timer m_stopTimer;
--- a/src/forwarding/internal/lanes.cpp
+++ b/src/forwarding/internal/lanes.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "forwarding/internal/routematch.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -24,12 +26,6 @@
     return found != configuration.services.end() && found->second.memoryTokens > 0;
 }
 
-// A point between 0 and 1 that is the upstream's own.
-double pointOf(const Upstream &upstream)
-{
-    return static_cast<double>(kernel::hash64(upstream.id.str()) >> 11U) * 0x1.0p-53;
-}
-
 } // namespace
 
 std::string_view toString(Lane lane)
@@ -96,7 +92,7 @@
         return upstreams;
     std::vector<const Upstream *> result;
     for (const Upstream *upstream : upstreams) {
-        const bool takesPatient = pointOf(*upstream) < patientPart;
+        const bool takesPatient = pointOf(upstream->id.str()) < patientPart;
         if (takesPatient == (lane == Lane::Patient))
             result.push_back(upstream);
     }
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -67,9 +67,8 @@
 
 std::optional<Refusal> chooseService(ForwardingState &state, RequestPlan &plan)
 {
-    const double point = plan.session.empty()
-                             ? kernel::uniform01(state.random)
-                             : static_cast<double>(kernel::hash64(plan.session) >> 11U) * 0x1.0p-53;
+    const double point
+        = plan.session.empty() ? kernel::uniform01(state.random) : pointOf(plan.session);
     const kernel::ServiceName *service = pickService(plan.route, point);
     if (service == nullptr)
         return Refusal{ unavailable, "route_without_service", noServiceRetryAfter };
--- a/src/forwarding/internal/routematch.cpp
+++ b/src/forwarding/internal/routematch.cpp
@@ -55,4 +55,10 @@
     return &route.services.back().service;
 }
 
+double pointOf(std::string_view text)
+{
+    constexpr int mantissaBits = 53;
+    return static_cast<double>(kernel::hash64(text) >> (64 - mantissaBits)) * 0x1.0p-53;
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/routematch.h
+++ b/src/forwarding/internal/routematch.h
@@ -17,4 +17,7 @@
 /// The service of one request of the route; `point` in [0, 1) divides the traffic by weight.
 const kernel::ServiceName *pickService(const Route &route, double point);
 
+/// A point in [0, 1) that follows from the text alone, the same on every daemon.
+double pointOf(std::string_view text);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -58,7 +58,7 @@
     return best;
 }
 
-UpstreamChoice chooseByAffinity(std::vector<const Upstream *> candidates,
+UpstreamChoice chooseByAffinity(const std::vector<const Upstream *> &candidates,
                                 const UpstreamRecords &records, const UpstreamQuery &query,
                                 kernel::Random &random)
 {
@@ -67,13 +67,20 @@
         total += workAt(records, *upstream);
     const double bound = std::max(
         affinityLoadFactor * total / static_cast<double>(candidates.size()), 2 * query.work);
-    std::ranges::sort(candidates, std::greater<>{}, [&](const Upstream *upstream) {
-        return kernel::rendezvousScore(query.affinity, upstream->id.str());
-    });
+    // The first in the key's order that has room.
+    const Upstream *best = nullptr;
+    std::uint64_t bestScore = 0;
     for (const Upstream *upstream : candidates) {
-        if (workAt(records, *upstream) + query.work <= bound)
-            return { upstream, ChoiceReason::Affinity };
+        if (workAt(records, *upstream) + query.work > bound)
+            continue;
+        const std::uint64_t score = kernel::rendezvousScore(query.affinity, upstream->id.str());
+        if (best == nullptr || score > bestScore) {
+            best = upstream;
+            bestScore = score;
+        }
     }
+    if (best != nullptr)
+        return { best, ChoiceReason::Affinity };
     return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
 }
 
@@ -133,7 +140,7 @@
     }
     open = laneUpstreams(std::move(open), query.lane, query.patientPart);
     if (!query.affinity.empty())
-        return chooseByAffinity(std::move(open), records, query, random);
+        return chooseByAffinity(open, records, query, random);
     return chooseNear(open, records, query, random);
 }
 
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -19,6 +19,28 @@
     return rollout;
 }
 
+// Brings in upstreams of a new version and orders the roll-out to it.
+void beginRollout(Site &site)
+{
+    for (const char *id : { "n1", "n2", "n3" })
+        site.addUpstream(id, "engines", "v2");
+    site.forwarder.setRollout(order(1));
+}
+
+// Asks in a session of its own; gives what was sent.
+Send &askInSession(Site &site, const std::string &target, const std::string &model, int session)
+{
+    Request request = site.request(target);
+    request.work = ModelWork{ model, 10, 10, { { std::to_string(session), 10 } } };
+    site.ask(request);
+    return site.http.last();
+}
+
+bool isOnTarget(const Send &send)
+{
+    return http::findHeader(send.request.headers, "upstream")->starts_with("n");
+}
+
 // Plays the store: each step that is asked for takes effect.
 void play(Site &site, kernel::Duration time, const std::function<void()> &eachTick)
 {
@@ -56,17 +78,11 @@
 TEST(ForwarderTest, AGoodRolloutIsCompletedInTime)
 {
     Site site;
-    for (const char *id : { "n1", "n2", "n3" })
-        site.addUpstream(id, "engines", "v2");
-    site.forwarder.setRollout(order(1));
+    beginRollout(site);
     int asked = 0;
     play(site, 20s, [&] {
-        for (int i = 0; i < 5; ++i) {
-            Request request = site.request("/once/x");
-            request.work = ModelWork{ "m", 10, 10, { { std::to_string(++asked), 10 } } };
-            site.ask(request);
-            site.http.last().answer(200, "ok");
-        }
+        for (int i = 0; i < 5; ++i)
+            askInSession(site, "/once/x", "m", ++asked).answer(200, "ok");
     });
     ASSERT_FALSE(site.steps.empty());
     EXPECT_EQ(site.steps.back().second.state, RolloutState::Completed);
@@ -75,20 +91,15 @@
 TEST(ForwarderTest, ABadRolloutIsTakenBackAndGetsLittle)
 {
     Site site;
-    for (const char *id : { "n1", "n2", "n3" })
-        site.addUpstream(id, "engines", "v2");
-    site.forwarder.setRollout(order(1));
+    beginRollout(site);
     int asked = 0;
     int exposed = 0;
     play(site, 20s, [&] {
         for (int i = 0; i < 10; ++i) {
-            Request request = site.request("/once/x");
-            request.work = ModelWork{ "m", 10, 10, { { std::to_string(++asked), 10 } } };
-            site.ask(request);
-            const bool onTarget
-                = http::findHeader(site.http.last().request.headers, "upstream")->starts_with("n");
+            Send &send = askInSession(site, "/once/x", "m", ++asked);
+            const bool onTarget = isOnTarget(send);
             exposed += onTarget ? 1 : 0;
-            site.http.last().answer(onTarget && i % 2 == 0 ? 500 : 200, "ok");
+            send.answer(onTarget && i % 2 == 0 ? 500 : 200, "ok");
         }
     });
     ASSERT_FALSE(site.steps.empty());
@@ -102,19 +113,12 @@
 TEST(ForwarderTest, ASilentRolloutIsTakenBack)
 {
     Site site;
-    for (const char *id : { "n1", "n2", "n3" })
-        site.addUpstream(id, "engines", "v2");
-    site.forwarder.setRollout(order(1));
+    beginRollout(site);
     int asked = 0;
     play(site, 20s, [&] {
         for (int i = 0; i < 10; ++i) {
-            Request request = site.request("/chat/x");
-            request.work = ModelWork{ "", 10, 10, { { std::to_string(++asked), 10 } } };
-            site.ask(request);
-            Send &send = site.http.last();
-            const bool onTarget
-                = http::findHeader(send.request.headers, "upstream")->starts_with("n");
-            if (onTarget)
+            Send &send = askInSession(site, "/chat/x", "", ++asked);
+            if (isOnTarget(send))
                 send.connect();
             else
                 send.answer(200, "ok");
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -298,7 +298,7 @@
 void Server::beginShutdown()
 {
     m_impl->closeListener();
-    h2o_context_request_shutdown(&m_impl->context);
+    endConnectionsAfterAnswers();
 }
 
 void Server::setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout)
--- a/src/framework/http/tests/drain_tests.cpp
+++ b/src/framework/http/tests/drain_tests.cpp
@@ -16,24 +16,29 @@
 
 const std::string request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
 
+std::unique_ptr<Server> listen(EventLoop &loop, RequestHandler handler)
+{
+    ServerOptions options;
+    options.listen = { "127.0.0.1", 0 };
+    auto listening
+        = kernel::capture([&] { return Server::listen(loop, options, std::move(handler)); });
+    EXPECT_TRUE(listening.ok());
+    return listening.ok() ? std::move(listening.value()) : nullptr;
+}
+
 // A server that streams to many callers while it is drained; what each does is drawn from a seed.
 void playDrain(std::uint64_t seed)
 {
     kernel::Random random(seed);
     EventLoop loop;
     std::vector<std::shared_ptr<Responder>> streams;
-    ServerOptions options;
-    options.listen = { "127.0.0.1", 0 };
-    auto listening = kernel::capture([&] {
-        return Server::listen(loop, options,
-                              [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
-                                  if (kernel::uniformBelow(random, 3) > 0)
-                                      responder->start(200, {});
-                                  streams.push_back(std::move(responder));
-                              });
-    });
-    ASSERT_TRUE(listening.ok());
-    const std::unique_ptr<Server> server = std::move(listening.value());
+    const std::unique_ptr<Server> server
+        = listen(loop, [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+              if (kernel::uniformBelow(random, 3) > 0)
+                  responder->start(200, {});
+              streams.push_back(std::move(responder));
+          });
+    ASSERT_NE(server, nullptr);
     std::vector<std::unique_ptr<RawConnection>> callers;
     constexpr int steps = 400;
     for (int step = 0; step < steps; ++step) {
@@ -82,17 +87,12 @@
 {
     EventLoop loop;
     std::shared_ptr<Responder> stream;
-    ServerOptions options;
-    options.listen = { "127.0.0.1", 0 };
-    auto listening = kernel::capture([&] {
-        return Server::listen(loop, options,
-                              [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
-                                  stream = std::move(responder);
-                                  stream->start(200, {});
-                              });
-    });
-    ASSERT_TRUE(listening.ok());
-    const std::unique_ptr<Server> server = std::move(listening.value());
+    const std::unique_ptr<Server> server
+        = listen(loop, [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+              stream = std::move(responder);
+              stream->start(200, {});
+          });
+    ASSERT_NE(server, nullptr);
     RawConnection caller(loop, server->endpoint());
     caller.send(request);
     ASSERT_TRUE(loop.runUntil([&] { return stream != nullptr; }, 5s));
@@ -110,16 +110,11 @@
 {
     EventLoop loop;
     std::shared_ptr<Responder> waiting;
-    ServerOptions options;
-    options.listen = { "127.0.0.1", 0 };
-    auto listening = kernel::capture([&] {
-        return Server::listen(loop, options,
-                              [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
-                                  waiting = std::move(responder);
-                              });
-    });
-    ASSERT_TRUE(listening.ok());
-    const std::unique_ptr<Server> server = std::move(listening.value());
+    const std::unique_ptr<Server> server
+        = listen(loop, [&](const ServerRequest &, std::shared_ptr<Responder> responder) {
+              waiting = std::move(responder);
+          });
+    ASSERT_NE(server, nullptr);
     RawConnection caller(loop, server->endpoint());
     caller.send(request);
     ASSERT_TRUE(loop.runUntil([&] { return waiting != nullptr; }, 5s));
