Roll-outs: answers in progress and the pace of streams are evidence; a lost race is tried again at once

One router of five had condemned it 10 ms before another wrote the last step; it asked again after 500 ms, by when the version had been completed, and then sent its own requests to the old upstreams, which were gone: 25 connects in 80 ms for one request, each of which spent a repeat of the budget. Streams taken after 3 s of a stop outlived the longest seen by more than a quarter and were cut.

Change: AnswerReview counts each answer of a roll-out's service once, as bad as soon as it is known; a condemned roll-out is asked for again at every change; a completed one is followed; a request that reaches nobody ends after four tries, and a repeat that was not sent spends no budget; a stopping router leaves streams to others that its time does not surely hold. Routers ask for a step in 20 slots of 15 ms in place of 6 of 50 ms.

Ruled out: the slowness of engines under load (the old version's answers were good all the while).

--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -6,6 +6,7 @@
 /// Job runs one request by them, Forwarder holds all requests and what the daemon knows. The wire
 /// form of a deployment stays outside: its adapter fills UpstreamWire and feeds the Forwarder.
 
+#include "forwarding/internal/answerreview.h"
 #include "forwarding/internal/attemptstate.h"
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
--- /dev/null
+++ b/src/forwarding/internal/answerreview.cpp
@@ -0,0 +1,68 @@
+#include "forwarding/internal/answerreview.h"
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// Streams with fewer events than this say nothing of their pace.
+constexpr int minEventsForPace = 3;
+
+void countBad(AnswerReview &review, RolloutEvidence &evidence)
+{
+    if (review.bad)
+        return;
+    review.bad = true;
+    if (review.counted)
+        recountAsBad(evidence, review.kind, review.upstream, review.onTarget);
+    else
+        noteAnswer(evidence, review.kind, review.upstream, review.onTarget, true, std::nullopt);
+    review.counted = true;
+}
+
+} // namespace
+
+void reviewFirstByte(AnswerReview &review, RolloutEvidence &evidence, kernel::Instant now)
+{
+    if (review.firstByteAt)
+        return;
+    review.firstByteAt = now;
+    if (review.counted) {
+        // It is late, and counted so.
+        if (!review.onTarget)
+            noteUsualTime(evidence, review.kind, now - review.begun);
+        return;
+    }
+    review.counted = true;
+    review.bad = noteAnswer(evidence, review.kind, review.upstream, review.onTarget, false,
+                            now - review.begun);
+}
+
+void reviewEvent(AnswerReview &review)
+{
+    ++review.events;
+}
+
+void reviewEnd(AnswerReview &review, RolloutEvidence &evidence, kernel::Instant now)
+{
+    reviewFirstByte(review, evidence, now);
+    reviewProgress(review, evidence, now);
+    if (!review.onTarget && review.events >= minEventsForPace)
+        noteUsualPace(evidence, review.kind, (now - *review.firstByteAt) / review.events);
+}
+
+void reviewFailure(AnswerReview &review, RolloutEvidence &evidence, kernel::Instant /*now*/)
+{
+    countBad(review, evidence);
+}
+
+void reviewProgress(AnswerReview &review, RolloutEvidence &evidence, kernel::Instant now)
+{
+    if (review.bad)
+        return;
+    const auto bound = review.firstByteAt ? slowStreamTime(evidence, review.kind, review.events)
+                                          : slowFirstByteTime(evidence, review.kind);
+    if (bound && now - review.firstByteAt.value_or(review.begun) > *bound)
+        countBad(review, evidence);
+}
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -11,8 +11,14 @@
 // A step that was asked for is not asked for again before this.
 constexpr kernel::Duration rolloutAskInterval = std::chrono::milliseconds(500);
 // Daemons ask for the same step one after the other, so that mostly one of them writes.
-constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(50);
-constexpr std::uint64_t rolloutAskers = 6;
+constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(15);
+constexpr std::uint64_t rolloutAskers = 20;
+
+kernel::Duration rolloutAskDelay(const kernel::VmId &vm, const kernel::ServiceName &service)
+{
+    const std::uint64_t rank = kernel::hash64(vm.str(), kernel::hash64(service.str()));
+    return rolloutAskSpread * static_cast<int>(rank % rolloutAskers);
+}
 
 void logConfiguration(const Directory &directory, DirectoryChange change)
 {
@@ -110,6 +116,8 @@
                        { "state", toString(rollout.state) },
                        { "share_permille", rollout.sharePermille },
                        { "revision", rollout.revision } });
+    // A step that was asked for may have lost against this change.
+    m_rolloutAskedAt.erase(rollout.service);
     reviewRollouts();
 }
 
@@ -197,11 +205,8 @@
         askAt = {};
         return;
     }
-    if (askAt == kernel::Instant{} && !evidence.condemned) {
-        askAt = now
-                + rolloutAskSpread
-                      * static_cast<int>(kernel::hash64(m_state.options.vm.str()) % rolloutAskers);
-    }
+    if (askAt == kernel::Instant{} && !evidence.condemned)
+        askAt = now + rolloutAskDelay(m_state.options.vm, rollout.service);
     if (now < askAt)
         return;
     askAt = now + rolloutAskInterval;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -28,6 +28,10 @@
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
 // Longest part of the time left that a connect may take.
 constexpr int connectPart = 3;
+// While a roll-out is under way, answers in progress are looked at this often.
+constexpr kernel::Duration reviewInterval = std::chrono::milliseconds(250);
+// Upstreams that a request tries in vain to reach before it is refused.
+constexpr int maxUnreached = 4;
 constexpr double failureShareDecay = 0.02;
 // Unless more is known, a caller may come back after this time, spread so that they don't return
 // together.
@@ -79,25 +83,30 @@
     if (rollout == m_state.directory.rollouts.end())
         return VersionChoice::Any;
     const auto evidence = m_state.evidence.find(m_plan.service);
-    if (evidence != m_state.evidence.end() && evidence->second.condemned
-        && evidence->second.target == rollout->second.target)
+    if (rollout->second.state != RolloutState::Completed && evidence != m_state.evidence.end()
+        && evidence->second.condemned && evidence->second.target == rollout->second.target)
         return VersionChoice::Old;
     // Requests without a session are divided by their id.
     const std::string &session = m_plan.session.empty() ? m_request.id.str() : m_plan.session;
     return chooseVersion(rollout->second, session);
 }
 
-void Job::tryNext(bool budgetTaken)
+void Job::tryNext()
 {
     if (timeLeft() < minAttemptTime) {
         onDeadline();
         return;
     }
-    if (m_attempts.sent > 0 && !budgetTaken
+    if (m_unreached >= maxUnreached) {
+        endWithout(EndReason::NoCapacity, "upstreams_unreachable");
+        return;
+    }
+    if (m_attempts.sent > 0 && !m_repeatTaken
         && !takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now())) {
         endWithout(EndReason::Failed, "retry_budget_spent");
         return;
     }
+    m_repeatTaken = m_attempts.sent > 0;
     const VersionChoice version = versionForSession();
     UpstreamQuery query;
     query.affinity = m_plan.session;
@@ -129,8 +138,11 @@
     attempt.upstream = upstream.id;
     attempt.endpoint = upstream.endpoint;
     attempt.version = upstream.version;
-    attempt.onTarget
+    attempt.review.kind = { m_plan.route.name, m_model };
+    attempt.review.upstream = upstream.id;
+    attempt.review.onTarget
         = rollout != m_state.directory.rollouts.end() && rollout->second.target == upstream.version;
+    attempt.review.begun = now();
     attempt.model = m_model;
     attempt.work = m_request.work ? expectedWork(*m_request.work) : 1;
     attempt.begun = now();
@@ -173,11 +185,30 @@
     handlers.onEnd
         = [this](const kernel::Completion<kernel::Done> &outcome) { onExchangeEnd(outcome); };
     m_exchange = m_state.send(m_state.wire.encode(m_request, facts), std::move(handlers));
+    armReview();
+}
+
+void Job::review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant))
+{
+    const auto evidence = m_state.evidence.find(m_plan.service);
+    if (evidence != m_state.evidence.end())
+        step(m_attempt->review, evidence->second, now());
+}
+
+void Job::armReview()
+{
+    if (!m_state.evidence.contains(m_plan.service))
+        return;
+    m_review = kernel::Timer(m_state.scheduler, reviewInterval, [this] {
+        review(reviewProgress);
+        armReview();
+    });
 }
 
 void Job::onSent()
 {
     noteSent(m_attempts);
+    m_repeatTaken = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
     if (mayRepeat(m_attempts))
@@ -209,7 +240,7 @@
     if (!mayRepeat(m_attempts))
         return;
     // A version that is far too slow shows it by answers that nobody waits for.
-    noteEvidence(true);
+    review(reviewFailure);
     failAttempt(AttemptFailure::Lost, "silent");
 }
 
@@ -230,7 +261,7 @@
     }
     if (m_attempts.answerBegun && (head.status >= firstErrorStatus || !head.events)) {
         // Only more events can follow what the caller has.
-        noteEvidence(true);
+        review(reviewFailure);
         failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
         return;
     }
@@ -262,9 +293,10 @@
     m_model = larger;
     // The upstream that read the prompt for the small model is as good as any.
     m_tried.erase(m_attempt->upstream);
-    noteEvidence(false);
+    review(reviewFirstByte);
     closeAttempt(RunOutcome::Good);
-    tryNext(true);
+    m_repeatTaken = true;
+    tryNext();
     return true;
 }
 
@@ -295,10 +327,11 @@
 {
     if (m_done)
         return;
-    if (!m_attempt->firstByteSeen) {
-        m_attempt->firstByteSeen = true;
-        noteEvidence(false);
-    }
+    if (m_attempt->firstByteSeen)
+        reviewEvent(m_attempt->review);
+    else
+        review(reviewFirstByte);
+    m_attempt->firstByteSeen = true;
     startAnswer();
     m_responder->write(event.bytes);
     if (event.id)
@@ -347,7 +380,7 @@
     }
     const AnswerHead &head = *m_attempt->head;
     if (head.status >= firstServerError) {
-        noteEvidence(true);
+        review(reviewFailure);
         if (mayRepeat(m_attempts) || !head.proven) {
             failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
             return;
@@ -360,8 +393,7 @@
         failAttempt(AttemptFailure::Lost, "the stream ends within an event");
         return;
     }
-    if (!m_attempt->firstByteSeen)
-        noteEvidence(false);
+    review(reviewEnd);
     noteRan(m_state.crashes, m_plan.fingerprint);
     closeAttempt(RunOutcome::Good);
     deliverWhole();
@@ -387,6 +419,7 @@
 void Job::closeAttempt(RunOutcome outcome)
 {
     m_silence.cancel();
+    m_review.cancel();
     m_exchange = nullptr;
     const bool judged = outcome == RunOutcome::Good || outcome == RunOutcome::Failed;
     double &share = m_state.failureShares[m_plan.service];
@@ -404,17 +437,6 @@
     }
 }
 
-void Job::noteEvidence(bool failed)
-{
-    const kernel::Instant at = now();
-    const auto evidence = m_state.evidence.find(m_plan.service);
-    if (evidence == m_state.evidence.end())
-        return;
-    noteAnswer(evidence->second, { m_plan.route.name, m_attempt->model }, m_attempt->upstream,
-               m_attempt->onTarget, failed,
-               failed ? std::nullopt : std::optional(at - m_attempt->begun));
-}
-
 void Job::failAttempt(AttemptFailure failure, std::string_view detail)
 {
     const auto self = shared_from_this();
@@ -433,6 +455,9 @@
         closeAttempt(RunOutcome::Full);
         break;
     case AttemptFailure::NotSent:
+        ++m_unreached;
+        closeAttempt(RunOutcome::Broken);
+        break;
     case AttemptFailure::WrongUpstream:
         closeAttempt(RunOutcome::Broken);
         break;
@@ -512,6 +537,7 @@
     m_done = true;
     m_deadline.cancel();
     m_silence.cancel();
+    m_review.cancel();
     m_exchange = nullptr;
     reportFinish(m_state, m_request, m_plan,
                  { .status = status,
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <string>
 
+#include "forwarding/internal/answerreview.h"
 #include "forwarding/internal/attemptstate.h"
 #include "forwarding/internal/eventsplitter.h"
 #include "forwarding/internal/requestplan.h"
@@ -31,7 +32,7 @@
         kernel::UpstreamId upstream;
         kernel::Endpoint endpoint;
         SoftwareVersion version;
-        bool onTarget = false;
+        AnswerReview review;
         std::string model;
         double work = 1;
         kernel::Instant begun{};
@@ -48,8 +49,7 @@
     kernel::Duration silenceAllowed() const;
 
     VersionChoice versionForSession() const;
-    // The retry budget is asked unless it was already.
-    void tryNext(bool budgetTaken = false);
+    void tryNext();
     void begin(const UpstreamChoice &choice);
     void onSent();
     void onHead(const http::ClientHead &clientHead);
@@ -63,7 +63,9 @@
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void closeAttempt(RunOutcome outcome);
-    void noteEvidence(bool failed);
+    // Takes the attempt in progress into the evidence of a roll-out, if there is one.
+    void review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant));
+    void armReview();
     void onSilence();
     void armSilence(kernel::Duration delay);
     void onDeadline();
@@ -81,6 +83,7 @@
     kernel::Instant m_end{};
     kernel::Timer m_deadline;
     kernel::Timer m_silence;
+    kernel::Timer m_review;
     AttemptState m_attempts;
     std::set<kernel::UpstreamId> m_tried;
     std::optional<Attempt> m_attempt;
@@ -90,6 +93,10 @@
     std::string m_model;
     std::string m_lastUpstream;
     kernel::Instant m_firstByteAt{};
+    // Attempts that reached nobody.
+    int m_unreached = 0;
+    // The budget gave a repeat that was not sent yet.
+    bool m_repeatTaken = false;
     bool m_escalated = false;
     bool m_done = false;
 };
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -44,6 +44,8 @@
 constexpr double slowFactor = 3;
 constexpr double slowExcessSeconds = 0.1;
 constexpr double usualDecay = 0.05;
+// A stream that has lasted for less is not slow: a pause may be an engine's long prompt.
+constexpr double leastSlowStreamSeconds = 1;
 
 bool clearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
 {
@@ -68,6 +70,20 @@
     }
 }
 
+void recount(VersionEvidence &evidence, const kernel::UpstreamId &upstream)
+{
+    --evidence.good;
+    ++evidence.bad;
+    evidence.badUpstreams.insert(upstream);
+}
+
+void noteUsual(std::map<AnswerKind, double> &usual, const AnswerKind &kind, kernel::Duration took)
+{
+    const double seconds = kernel::toSeconds(took);
+    double &mean = usual.try_emplace(kind, seconds).first->second;
+    mean += usualDecay * (seconds - mean);
+}
+
 } // namespace
 
 VersionChoice chooseVersion(const Rollout &rollout, std::string_view session)
@@ -85,23 +101,56 @@
     return point < rollout.sharePermille ? VersionChoice::New : VersionChoice::Old;
 }
 
-void noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
+bool noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
                 const kernel::UpstreamId &upstream, bool onTarget, bool failed,
                 std::optional<kernel::Duration> took)
 {
     bool bad = failed;
     if (took) {
-        const double seconds = kernel::toSeconds(*took);
-        const auto usual = evidence.usualSeconds.find(kind);
-        if (usual != evidence.usualSeconds.end() && evidence.share < permille)
-            bad = bad || seconds > usual->second * slowFactor + slowExcessSeconds;
-        if (!onTarget) {
-            double &mean = evidence.usualSeconds.try_emplace(kind, seconds).first->second;
-            mean += usualDecay * (seconds - mean);
-        }
+        const auto slow = slowFirstByteTime(evidence, kind);
+        bad = bad || (slow && *took > *slow);
+        if (!onTarget)
+            noteUsualTime(evidence, kind, *took);
     }
     count(onTarget ? evidence.newTotal : evidence.oldTotal, upstream, bad);
     count((onTarget ? evidence.newByKind : evidence.oldByKind)[kind], upstream, bad);
+    return bad;
+}
+
+void recountAsBad(RolloutEvidence &evidence, const AnswerKind &kind,
+                  const kernel::UpstreamId &upstream, bool onTarget)
+{
+    recount(onTarget ? evidence.newTotal : evidence.oldTotal, upstream);
+    recount((onTarget ? evidence.newByKind : evidence.oldByKind)[kind], upstream);
+}
+
+void noteUsualTime(RolloutEvidence &evidence, const AnswerKind &kind, kernel::Duration took)
+{
+    noteUsual(evidence.usualSeconds, kind, took);
+}
+
+void noteUsualPace(RolloutEvidence &evidence, const AnswerKind &kind, kernel::Duration perEvent)
+{
+    noteUsual(evidence.usualPaceSeconds, kind, perEvent);
+}
+
+std::optional<kernel::Duration> slowFirstByteTime(const RolloutEvidence &evidence,
+                                                  const AnswerKind &kind)
+{
+    const auto usual = evidence.usualSeconds.find(kind);
+    if (usual == evidence.usualSeconds.end() || evidence.share >= permille)
+        return std::nullopt;
+    return kernel::fromSeconds(usual->second * slowFactor + slowExcessSeconds);
+}
+
+std::optional<kernel::Duration> slowStreamTime(const RolloutEvidence &evidence,
+                                               const AnswerKind &kind, int events)
+{
+    const auto usual = evidence.usualPaceSeconds.find(kind);
+    if (usual == evidence.usualPaceSeconds.end() || evidence.share >= permille)
+        return std::nullopt;
+    const double seconds = usual->second * slowFactor * std::max(events, 1);
+    return kernel::fromSeconds(std::max(seconds, leastSlowStreamSeconds));
 }
 
 bool isBad(const RolloutEvidence &evidence)
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -54,15 +54,35 @@
     std::map<AnswerKind, VersionEvidence> oldByKind;
     /// Time to the first byte on the old version: a mean with decay, in seconds.
     std::map<AnswerKind, double> usualSeconds;
+    /// Time between the events of its streams: a mean with decay, in seconds.
+    std::map<AnswerKind, double> usualPaceSeconds;
     bool condemned = false;
 };
 
-/// Takes in one answer. `took` is the time to its first byte; a failure has none. Slowness counts
-/// only while both versions get requests, as later nobody shows what is usual.
-void noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
+/// Takes in one answer, and tells whether it counts as bad. `took` is the time to its first byte; a
+/// failure has none. Slowness counts only while both versions get requests, as later nobody shows
+/// what is usual.
+bool noteAnswer(RolloutEvidence &evidence, const AnswerKind &kind,
                 const kernel::UpstreamId &upstream, bool onTarget, bool failed,
                 std::optional<kernel::Duration> took);
 
+/// An answer that was taken for good has turned out bad.
+void recountAsBad(RolloutEvidence &evidence, const AnswerKind &kind,
+                  const kernel::UpstreamId &upstream, bool onTarget);
+
+/// Takes in a time to the first byte on the old version.
+void noteUsualTime(RolloutEvidence &evidence, const AnswerKind &kind, kernel::Duration took);
+/// Takes in the mean time between the events of a stream of the old version.
+void noteUsualPace(RolloutEvidence &evidence, const AnswerKind &kind, kernel::Duration perEvent);
+
+/// The time to its first byte from which an answer is slow; none while that can't be told.
+std::optional<kernel::Duration> slowFirstByteTime(const RolloutEvidence &evidence,
+                                                  const AnswerKind &kind);
+/// The time from a stream's first event from which it is slow if it has brought so many more; none
+/// while that can't be told.
+std::optional<kernel::Duration> slowStreamTime(const RolloutEvidence &evidence,
+                                               const AnswerKind &kind, int events);
+
 /// Whether the target is worse than the old version beyond doubt.
 bool isBad(const RolloutEvidence &evidence);
 
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 constexpr double longestAnswerDecay = 0.999;
-// An answer may take this much longer than the longest one seen.
+// An answer may take this much longer than the longest one seen; a stream's length follows from its
+// text and its engine's load, and may exceed what was seen by more.
 constexpr double longestAnswerMargin = 1.25;
+constexpr double longestStreamMargin = 2;
 constexpr kernel::Duration finishSlack = std::chrono::milliseconds(100);
 
 } // namespace
@@ -86,10 +88,15 @@
 {
     if (!state.endsAt)
         return true;
+    const bool stream = route.kind == RequestKind::Streaming;
     const auto known = state.longestAnswers.find(route.name);
-    const kernel::Duration longest = known == state.longestAnswers.end()
-                                         ? route.timeout
-                                         : kernel::scaled(known->second, longestAnswerMargin);
+    kernel::Duration longest = route.timeout;
+    // Another daemon takes a stream that might not end in time; when there is none, a guess is
+    // better than a refusal.
+    if (known != state.longestAnswers.end() && (!stream || state.alone)) {
+        const double margin = stream ? longestStreamMargin : longestAnswerMargin;
+        longest = std::min(longest, kernel::scaled(known->second, margin));
+    }
     return now + longest + finishSlack < *state.endsAt;
 }
 
--- /dev/null
+++ b/src/forwarding/tests/answerreview_tests.cpp
@@ -0,0 +1,103 @@
+#include <gtest/gtest.h>
+
+#include "forwarding/forwarding.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace std::chrono_literals;
+
+namespace {
+
+const AnswerKind chat(RouteName("chat"), "large");
+
+AnswerReview review(bool onTarget)
+{
+    AnswerReview result;
+    result.kind = chat;
+    result.upstream = kernel::UpstreamId(onTarget ? "new" : "old");
+    result.onTarget = onTarget;
+    return result;
+}
+
+// A stream of the old version: its first event after 100 ms, nine more, one each 100 ms.
+void playUsualStream(RolloutEvidence &evidence)
+{
+    AnswerReview old = review(false);
+    reviewFirstByte(old, evidence, kernel::Instant(100ms));
+    for (int i = 0; i < 9; ++i)
+        reviewEvent(old);
+    reviewEnd(old, evidence, kernel::Instant(1000ms));
+}
+
+} // namespace
+
+TEST(AnswerReviewTest, AWholeAnswerCountsOnce)
+{
+    RolloutEvidence evidence;
+    playUsualStream(evidence);
+    playUsualStream(evidence);
+    EXPECT_EQ(evidence.oldTotal.good, 2);
+    EXPECT_EQ(evidence.oldTotal.bad, 0);
+    EXPECT_NEAR(evidence.usualPaceSeconds.at(chat), 0.1, 0.001);
+}
+
+TEST(AnswerReviewTest, AWaitThatIsFarTooLongCountsBeforeItEnds)
+{
+    RolloutEvidence evidence;
+    playUsualStream(evidence);
+    AnswerReview late = review(true);
+    reviewProgress(late, evidence, kernel::Instant(300ms));
+    EXPECT_EQ(evidence.newTotal.total(), 0);
+    reviewProgress(late, evidence, kernel::Instant(500ms));
+    EXPECT_EQ(evidence.newTotal.bad, 1);
+    reviewFirstByte(late, evidence, kernel::Instant(600ms));
+    reviewEnd(late, evidence, kernel::Instant(700ms));
+    reviewFailure(late, evidence, kernel::Instant(700ms));
+    EXPECT_EQ(evidence.newTotal.total(), 1);
+}
+
+// Seen on a slow version: the first events came in time, the streams took ten times as long.
+TEST(AnswerReviewTest, AStreamThatCreepsIsBadThoughItBeganInTime)
+{
+    RolloutEvidence evidence;
+    playUsualStream(evidence);
+    AnswerReview slow = review(true);
+    reviewFirstByte(slow, evidence, kernel::Instant(100ms));
+    EXPECT_EQ(evidence.newTotal.good, 1);
+    reviewEvent(slow);
+    reviewProgress(slow, evidence, kernel::Instant(900ms));
+    EXPECT_EQ(evidence.newTotal.bad, 0) << "a pause is not a pace";
+    reviewEvent(slow);
+    reviewProgress(slow, evidence, kernel::Instant(1900ms));
+    EXPECT_EQ(evidence.newTotal.good, 0);
+    EXPECT_EQ(evidence.newTotal.bad, 1);
+    EXPECT_EQ(evidence.newByKind.at(chat).bad, 1);
+    EXPECT_TRUE(evidence.newTotal.badUpstreams.contains(kernel::UpstreamId("new")));
+}
+
+TEST(AnswerReviewTest, AFailureMidwayTurnsAGoodAnswerBad)
+{
+    RolloutEvidence evidence;
+    AnswerReview cut = review(true);
+    reviewFirstByte(cut, evidence, kernel::Instant(100ms));
+    reviewFailure(cut, evidence, kernel::Instant(200ms));
+    EXPECT_EQ(evidence.newTotal.good, 0);
+    EXPECT_EQ(evidence.newTotal.bad, 1);
+}
+
+// Load that slows both versions down shows in the old one's times too.
+TEST(AnswerReviewTest, SlownessOfBothVersionsCondemnsNobody)
+{
+    RolloutEvidence evidence;
+    playUsualStream(evidence);
+    for (int i = 0; i < 40; ++i) {
+        for (const bool onTarget : { false, true }) {
+            AnswerReview late = review(onTarget);
+            reviewProgress(late, evidence, kernel::Instant(2s));
+            reviewFirstByte(late, evidence, kernel::Instant(2s));
+            reviewEnd(late, evidence, kernel::Instant(2s));
+        }
+    }
+    EXPECT_FALSE(isBad(evidence));
+    EXPECT_NEAR(evidence.usualSeconds.at(chat), 2, 0.4);
+}
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -128,6 +128,81 @@
     EXPECT_EQ(site.steps.back().second.state, RolloutState::RolledBack);
 }
 
+// Seen on a slow version: the one router that knew asked at the moment at which another took the
+// next step, and the roll-out was completed before it asked again.
+TEST(ForwarderTest, ALostRaceToTakeARolloutBackIsTriedAgainAtOnce)
+{
+    Site site;
+    beginRollout(site);
+    Rollout rollout = order(2);
+    rollout.state = RolloutState::Running;
+    rollout.sharePermille = 250;
+    site.forwarder.setRollout(rollout);
+    int asked = 0;
+    while (site.steps.empty() || site.steps.back().second.state != RolloutState::RolledBack) {
+        ASSERT_LT(asked, 1000);
+        Send &send = askInSession(site, "/once/x", "m", ++asked);
+        send.answer(isOnTarget(send) ? 500 : 200, "ok");
+        site.clock.advance(20ms);
+    }
+    site.steps.clear();
+    rollout.sharePermille = 1000;
+    rollout.revision = kernel::Revision(3);
+    site.forwarder.setRollout(rollout);
+    ASSERT_EQ(site.steps.size(), 1U);
+    EXPECT_EQ(site.steps.back().first.revision, kernel::Revision(3));
+    EXPECT_EQ(site.steps.back().second.state, RolloutState::RolledBack);
+
+    // Once others have completed it, the old upstreams are gone, whatever this one thinks of it.
+    rollout.state = RolloutState::Completed;
+    rollout.revision = kernel::Revision(4);
+    site.forwarder.setRollout(rollout);
+    EXPECT_TRUE(isOnTarget(askInSession(site, "/once/x", "m", ++asked)));
+}
+
+// Seen on a version whose streams began in time and took ten times as long as usual.
+TEST(ForwarderTest, ARolloutOfCreepingStreamsIsTakenBack)
+{
+    const http::Headers events{ { "proof", "p" }, { "events", "1" } };
+    Site site;
+    beginRollout(site);
+    int asked = 0;
+    play(site, 20s, [&] {
+        for (int i = 0; i < 10; ++i) {
+            Send &send = askInSession(site, "/chat/x", "", ++asked);
+            send.connect();
+            send.head(200, events);
+            send.body("id: 1\ndata: a\n\n");
+            if (isOnTarget(send))
+                continue;
+            site.clock.advance(10ms);
+            for (const char *event : { "id: 2\n\n", "id: 3\n\n", "id: 4\n\n", "id: 5\n\n" })
+                send.body(event);
+            send.complete();
+        }
+    });
+    ASSERT_FALSE(site.steps.empty());
+    EXPECT_EQ(site.steps.back().second.state, RolloutState::RolledBack);
+}
+
+// Seen at the end of a rolling stop: streams took longer than any before and were cut.
+TEST(ForwarderTest, AStoppingRouterLeavesStreamsToOthers)
+{
+    Site site;
+    site.ask("/once/x");
+    site.clock.advance(400ms);
+    site.http.last().answer(200, "ok");
+    const kernel::Instant end = site.clock.now() + 2s;
+    site.forwarder.endBy(end, false);
+    const auto refused = site.ask("/once/x");
+    EXPECT_EQ(refused->status, 503);
+    EXPECT_EQ(refused->header("retry-after"), "0.050000");
+    site.forwarder.endBy(end, true);
+    EXPECT_FALSE(site.ask("/once/x")->ended) << "nobody else is there";
+    site.forwarder.endBy(site.clock.now() + 800ms, true);
+    EXPECT_EQ(site.ask("/once/x")->status, 503);
+}
+
 TEST(ForwarderTest, AStoppingRouterTakesOnlyWhatItCanFinish)
 {
     Site site;
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -381,6 +381,29 @@
     EXPECT_EQ(site.http.sends.size(), 4U);
 }
 
+// Seen when a version's upstreams had gone: one request tried the same dead address 25 times and
+// spent the retry budget of all.
+TEST(JobTest, ARequestThatReachesNobodyEndsSoonAndSpendsNoBudget)
+{
+    Site site;
+    const auto caller = site.ask("/safe/x");
+    site.http.last().connect();
+    site.http.last().fail(kernel::ResultCode::UpstreamBroken);
+    while (!caller->ended) {
+        ASSERT_LT(site.http.sends.size(), 10U);
+        site.http.last().fail(kernel::ResultCode::UpstreamConnectFailed);
+    }
+    EXPECT_EQ(site.http.sends.size(), 5U);
+    EXPECT_EQ(caller->status, 502) << "it may have run at the first one";
+    EXPECT_EQ(site.forwarder.state().budgets.at(kernel::ServiceName("desk")).repeats.size(), 1U);
+
+    const auto unsent = site.ask("/unsafe/x");
+    while (!unsent->ended)
+        site.http.last().fail(kernel::ResultCode::UpstreamConnectFailed);
+    EXPECT_EQ(unsent->status, 503);
+    EXPECT_FALSE(unsent->header("retry-after").empty());
+}
+
 TEST(JobTest, WithoutUpstreamsItSaysWhenToComeBack)
 {
     Site site;
