Engines under load: fewer escalations while busy; unreachable upstreams are probed; a stream that nobody can take up is waited for

Bodies without end are bounded (fetch, slow callers).

Tests that named Broken where they meant an avoidance by time say Silent now, with the same figures; Broken has tests of its own. The property of the retry budget also plays 37 routers.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -37,7 +37,8 @@
     , m_settingsFile(std::move(settingsFile))
     , m_settingsStamp(stampOf(m_settingsFile))
     , m_client(m_loop)
-    , m_adapter(sender(), m_loop.scheduler(), m_settings.store, kernel::systemRandom())
+    , m_adapter(sender(), m_loop.scheduler(), m_settings.store, m_settings.leaveTime / 2,
+                kernel::systemRandom())
     , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding, kernel::systemRandom())
 {}
 
@@ -52,6 +53,10 @@
 {
     forwarding::ForwarderPorts ports;
     ports.send = sender();
+    ports.connect = [this](const kernel::Endpoint &endpoint, kernel::Duration timeout,
+                           kernel::Callback<kernel::Done> callback) {
+        return m_client.connect(endpoint, timeout, std::move(callback));
+    };
     ports.wire = platform::upstreamWire();
     ports.writeRollout
         = [this](const forwarding::Rollout &rollout, const forwarding::RolloutStep &step) {
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr std::int64_t minuteMilliseconds = 60000;
+constexpr kernel::Duration defaultLeaveTime = std::chrono::seconds(2);
 constexpr double maxRetryRatio = 10;
 
 // Numbers of the platform may be fractions or whole; TOML keeps them apart.
@@ -39,6 +40,8 @@
     constexpr int mostConfident = 101;
     options.models.escalateBelow = static_cast<int>(reader.integer(
         "models.escalate_below", options.models.escalateBelow, { 0, mostConfident }));
+    options.models.escalateBelowBusy = static_cast<int>(reader.integer(
+        "models.escalate_below_busy", options.models.escalateBelowBusy, { 0, mostConfident }));
     options.models.escalateBelowForAnswer = static_cast<int>(
         reader.integer("models.escalate_below_for_answer", options.models.escalateBelowForAnswer,
                        { 0, mostConfident }));
@@ -62,6 +65,8 @@
     settings.readinessListen = reader.requiredEndpoint("readiness.listen");
     settings.metricsListen = reader.endpoint("metrics.listen", {});
     settings.store = reader.requiredEndpoint("store.address");
+    settings.leaveTime
+        = reader.milliseconds("upstreams.leave_ms", defaultLeaveTime, { 100, minuteMilliseconds });
     settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
     settings.balancerDelay = readSeconds(reader, "stop.balancer_delay_s", 2.8);
     result.mistakes = reader.finish();
--- a/src/forwarding/internal/attemptstate.cpp
+++ b/src/forwarding/internal/attemptstate.cpp
@@ -21,6 +21,8 @@
         return "wrong_upstream";
     case AttemptFailure::Lost:
         return "lost";
+    case AttemptFailure::Silent:
+        return "silent";
     case AttemptFailure::Garbled:
         return "garbled";
     case AttemptFailure::ServerError:
--- a/src/forwarding/internal/attemptstate.h
+++ b/src/forwarding/internal/attemptstate.h
@@ -14,8 +14,10 @@
     Refused,
     /// Another upstream has the address; it did not run the request.
     WrongUpstream,
-    /// Sent, then reset, closed, silent or cut.
+    /// Sent, then reset, closed or cut.
     Lost,
+    /// Sent, and nothing came for far longer than usual.
+    Silent,
     /// Bytes that are no answer to this request.
     Garbled,
     /// A whole answer that states a failure of the upstream.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -49,6 +49,7 @@
                .wire = std::move(ports.wire),
                .send = std::move(ports.send),
                .random = random }
+    , m_connect(std::move(ports.connect))
     , m_writeRollout(std::move(ports.writeRollout))
     , m_onConfiguration(std::move(ports.onConfiguration))
 {
@@ -158,6 +159,7 @@
 {
     for (const kernel::UpstreamId &id : expireMissing(m_state.directory, m_state.scheduler.now()))
         logUpstream(id, DirectoryChange::Removed, nullptr);
+    probeUnreachable();
     reviewRollouts();
     armTick();
 }
@@ -223,6 +225,43 @@
     return condemnedTogether(rollout.doubts, used.size());
 }
 
+// Finds out which of the upstreams that could not be reached can be, at no request's cost.
+void Forwarder::probeUnreachable()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    for (const auto &[id, record] : m_state.records) {
+        if (!record.unreachable || record.probeAt > now || m_probes.contains(id))
+            continue;
+        const auto known = m_state.directory.upstreams.find(id);
+        if (known != m_state.directory.upstreams.end())
+            probe(id, known->second.entry.endpoint);
+    }
+}
+
+void Forwarder::probe(const kernel::UpstreamId &id, const kernel::Endpoint &endpoint)
+{
+    m_probes[id] = m_connect(endpoint, connectTimeout(m_state),
+                             [this, id](const kernel::Completion<kernel::Done> &outcome) {
+                                 onProbed(id, outcome.ok());
+                             });
+}
+
+void Forwarder::onProbed(const kernel::UpstreamId &id, bool reached)
+{
+    const auto probe = std::move(m_probes[id]);
+    m_probes.erase(id);
+    const auto record = m_state.records.find(id);
+    if (record == m_state.records.end() || !record->second.unreachable)
+        return;
+    const kernel::Instant now = m_state.scheduler.now();
+    if (!reached) {
+        noteUnreached(record->second, now);
+        return;
+    }
+    noteReached(record->second, now);
+    kernel::logEvent(kernel::EventId::UpstreamReturned, { { "upstream", id } });
+}
+
 // Drops the records of upstreams that are gone and idle.
 void Forwarder::forgetRecords()
 {
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -16,6 +16,7 @@
 struct ForwarderPorts
 {
     HttpSender send;
+    Connector connect;
     UpstreamWire wire;
     RolloutWriter writeRollout;
     /// A configuration came into force.
@@ -60,9 +61,14 @@
     void reviewRollouts();
     void reviewRollout(Rollout &rollout);
     bool isCondemnedTogether(const Rollout &rollout) const;
+    void probeUnreachable();
+    void probe(const kernel::UpstreamId &id, const kernel::Endpoint &endpoint);
+    void onProbed(const kernel::UpstreamId &id, bool reached);
     void forgetRecords();
 
     ForwardingState m_state;
+    Connector m_connect;
+    std::map<kernel::UpstreamId, std::unique_ptr<http::Exchange>> m_probes;
     RolloutWriter m_writeRollout;
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -159,7 +159,7 @@
     facts.resumeAfter = m_lastEventId;
     const bool mayBeLost = m_plan.route.kind == RequestKind::Safe || m_plan.route.resumable;
     facts.maxIdle = mayBeLost ? maxIdleSafe : maxIdleUnsafe;
-    facts.connectTimeout = std::min(m_state.options.connectTimeout, timeLeft() / connectPart);
+    facts.connectTimeout = std::min(connectTimeout(m_state), timeLeft() / connectPart);
 
     kernel::logEvent(kernel::EventId::UpstreamChosen,
                      { { "request", m_request.id },
@@ -208,6 +208,7 @@
 void Job::onSent()
 {
     noteSent(m_attempts);
+    noteConnectTime(m_state, now() - m_attempt->begun);
     m_repeatTaken = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
@@ -237,11 +238,17 @@
         armSilence(allowed - silent);
         return;
     }
-    if (!mayRepeat(m_attempts))
+    if (!mayRepeat(m_attempts) || timeLeft() < minAttemptTime)
         return;
+    // Waiting on is better than ending a request that can't go elsewhere.
+    if (!takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now())) {
+        armSilence(allowed);
+        return;
+    }
+    m_repeatTaken = true;
     // A version that is far too slow shows it by answers that nobody waits for.
     review(reviewFailure);
-    failAttempt(AttemptFailure::Lost, "silent");
+    failAttempt(AttemptFailure::Silent, "silent");
 }
 
 void Job::onHead(const http::ClientHead &clientHead)
@@ -278,9 +285,10 @@
     if (!m_request.work || m_escalated || !mayRepeat(m_attempts))
         return false;
     const kernel::Instant objectiveEnd = m_request.arrived + m_plan.route.latencyObjective;
-    const std::string larger = escalateTo(
-        m_plan.route, m_state.options.models, *m_request.work, m_model, m_attempt->head->confidence,
-        m_attempts.maxAttempts - m_attempts.sent, objectiveEnd - now());
+    const std::string larger
+        = escalateTo(m_plan.route, m_state.options.models, *m_request.work, m_model,
+                     m_attempt->head->confidence, m_attempts.maxAttempts - m_attempts.sent,
+                     objectiveEnd - now(), busyness(m_state.punctuality[m_plan.service]));
     if (larger.empty()
         || !takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now()))
         return false;
@@ -303,17 +311,14 @@
 void Job::onBody(std::string_view piece)
 {
     const auto self = shared_from_this();
-    const kernel::Instant at = now();
-    if (m_attempt->firstByteSeen)
-        noteTime(m_state.usual.betweenEvents[{ m_plan.route.name, m_attempt->model }],
-                 at - m_attempt->lastActivity);
-    m_attempt->lastActivity = at;
     const AnswerHead &head = *m_attempt->head;
     if (!head.events || head.status >= firstErrorStatus) {
+        m_attempt->lastActivity = now();
         m_attempt->body.append(piece);
         if (m_attempt->body.size() > maxHeldBody) {
             startAnswer();
             m_responder->write(std::exchange(m_attempt->body, {}));
+            holdBack();
         }
         return;
     }
@@ -323,27 +328,51 @@
         failAttempt(AttemptFailure::Garbled, "event too long");
 }
 
+// Bytes that make no whole event are no sign of life: only events end a stream's silence.
+void Job::noteEvent()
+{
+    const kernel::Instant at = now();
+    if (m_attempt->firstByteSeen) {
+        noteTime(m_state.usual.betweenEvents[{ m_plan.route.name, m_attempt->model }],
+                 at - m_attempt->lastActivity);
+        reviewEvent(m_attempt->review);
+    } else {
+        m_attempt->firstByteSeen = true;
+        review(reviewFirstByte);
+    }
+    m_attempt->lastActivity = at;
+}
+
+// Reads no further from the upstream while the caller leaves much unread.
+void Job::holdBack()
+{
+    if (m_responder->queuedBytes() <= maxQueuedBytes || !m_exchange)
+        return;
+    m_exchange->pauseReading(true);
+    m_responder->whenDrained([weak = weak_from_this()] {
+        const auto job = weak.lock();
+        if (job && job->m_exchange)
+            job->m_exchange->pauseReading(false);
+    });
+}
+
 void Job::onEvent(const StreamEvent &event)
 {
     if (m_done)
         return;
-    if (m_attempt->firstByteSeen)
-        reviewEvent(m_attempt->review);
-    else
-        review(reviewFirstByte);
-    m_attempt->firstByteSeen = true;
+    noteEvent();
     startAnswer();
     m_responder->write(event.bytes);
     if (event.id)
         m_lastEventId = event.id;
-    if (m_responder->queuedBytes() > maxQueuedBytes && m_exchange) {
-        m_exchange->pauseReading(true);
-        m_responder->whenDrained([weak = weak_from_this()] {
-            const auto job = weak.lock();
-            if (job && job->m_exchange)
-                job->m_exchange->pauseReading(false);
-        });
-    }
+    holdBack();
+}
+
+void Job::noteFirstByte()
+{
+    m_firstByteAt = now();
+    const bool late = m_firstByteAt - m_request.arrived > m_plan.route.latencyObjective / 2;
+    notePunctuality(m_state.punctuality[m_plan.service], late);
 }
 
 // Sends the head of the answer, once.
@@ -352,7 +381,7 @@
     if (m_attempts.answerBegun)
         return;
     m_attempts.answerBegun = true;
-    m_firstByteAt = now();
+    noteFirstByte();
     m_responder->start(m_attempt->head->status, m_attempt->head->headers);
 }
 
@@ -409,7 +438,7 @@
             m_responder->write(m_attempt->body);
         m_responder->finish();
     } else {
-        m_firstByteAt = now();
+        noteFirstByte();
         m_responder->send(status, head.headers, m_attempt->body);
     }
     finish(status, "answered");
@@ -461,6 +490,10 @@
     case AttemptFailure::WrongUpstream:
         closeAttempt(RunOutcome::Broken);
         break;
+    case AttemptFailure::Silent:
+        noteCrash(m_state.crashes, m_plan.fingerprint, m_attempt->upstream, now());
+        closeAttempt(RunOutcome::Silent);
+        break;
     case AttemptFailure::Lost:
         noteCrash(m_state.crashes, m_plan.fingerprint, m_attempt->upstream, now());
         closeAttempt(RunOutcome::Broken);
@@ -521,6 +554,7 @@
         finish(0, why);
         return;
     }
+    notePunctuality(m_state.punctuality[m_plan.service], true);
     const int status = finalStatus(m_attempts, reason);
     kernel::Duration retryAfter{};
     if (status == unavailable) {
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -55,11 +55,14 @@
     void onHead(const http::ClientHead &clientHead);
     void onBody(std::string_view piece);
     void onEvent(const StreamEvent &event);
+    void noteEvent();
+    void holdBack();
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onAnswerComplete();
     bool escalate();
     void deliverWhole();
     void startAnswer();
+    void noteFirstByte();
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void closeAttempt(RunOutcome outcome);
--- a/src/forwarding/internal/modelchoice.cpp
+++ b/src/forwarding/internal/modelchoice.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/modelchoice.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciasail::forwarding {
 
@@ -11,6 +12,11 @@
 // Callers ask for more output than they get.
 constexpr double usedPartOfMaxOutput = 0.5;
 
+// Weight of the newest request in a service's punctuality.
+constexpr double lateShareDecay = 0.02;
+// Share of late requests from which a service counts as fully busy.
+constexpr double lateShareWhenBusy = 0.1;
+
 // A token read costs this part of a token generated.
 constexpr double readCost = 0.25;
 
@@ -29,6 +35,16 @@
 
 } // namespace
 
+void notePunctuality(Punctuality &punctuality, bool late)
+{
+    punctuality.lateShare += lateShareDecay * ((late ? 1 : 0) - punctuality.lateShare);
+}
+
+double busyness(const Punctuality &punctuality)
+{
+    return std::min(punctuality.lateShare / lateShareWhenBusy, 1.0);
+}
+
 std::string firstModel(const Route &route, const ModelWork &work)
 {
     return route.models.empty() ? work.model : route.models.front();
@@ -36,11 +52,12 @@
 
 std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
                        const std::string &asked, std::optional<int> confidence, int sentLeft,
-                       kernel::Duration objectiveLeft)
+                       kernel::Duration objectiveLeft, double busy)
 {
     if (route.models.empty() || asked == route.models.back() || sentLeft <= 0 || !confidence)
         return {};
-    const double threshold = rules.escalateBelow + rules.escalateBelowForAnswer * answerPart(work);
+    const double base = std::lerp(rules.escalateBelow, rules.escalateBelowBusy, busy);
+    const double threshold = base + rules.escalateBelowForAnswer * answerPart(work);
     if (*confidence >= threshold)
         return {};
     if (kernel::toSeconds(objectiveLeft)
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -11,6 +11,9 @@
 // text and its engine's load, and may exceed what was seen by more.
 constexpr double longestAnswerMargin = 1.25;
 constexpr double longestStreamMargin = 2;
+constexpr double slowestConnectDecay = 0.995;
+constexpr int connectTimeoutFactor = 10;
+constexpr kernel::Duration leastConnectTimeout = std::chrono::milliseconds(50);
 constexpr kernel::Duration finishSlack = std::chrono::milliseconds(100);
 
 } // namespace
@@ -78,6 +81,21 @@
     return counts;
 }
 
+void noteConnectTime(ForwardingState &state, kernel::Duration took)
+{
+    state.slowestConnect
+        = std::max(kernel::scaled(state.slowestConnect, slowestConnectDecay), took);
+}
+
+kernel::Duration connectTimeout(const ForwardingState &state)
+{
+    const kernel::Duration most = state.options.connectTimeout;
+    if (state.slowestConnect == kernel::Duration::zero())
+        return most;
+    return std::min(std::max(state.slowestConnect * connectTimeoutFactor, leastConnectTimeout),
+                    most);
+}
+
 void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took)
 {
     kernel::Duration &longest = state.longestAnswers[route];
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -26,6 +26,10 @@
 using HttpSender = std::function<std::unique_ptr<http::Exchange>(const http::ClientRequest &,
                                                                  http::ClientHandlers)>;
 
+/// Opens a connection without a request; destroying the result cancels it.
+using Connector = std::function<std::unique_ptr<http::Exchange>(
+    const kernel::Endpoint &, kernel::Duration timeout, kernel::Callback<kernel::Done>)>;
+
 /// Settings of the flow; docs/operators/SETTINGS.md explains each.
 struct ForwardingOptions
 {
@@ -66,10 +70,13 @@
 
     Directory directory;
     UpstreamRecords records;
+    /// Longest time that a connection lately took, with decay.
+    kernel::Duration slowestConnect{};
     /// Follows from the configuration in force.
     TightestObjectives tightestObjectives;
     std::map<kernel::ServiceName, LaneWork> laneWork;
     UsualTimes usual;
+    std::map<kernel::ServiceName, Punctuality> punctuality;
     std::map<kernel::ServiceName, RetryBudget> budgets;
     /// Share of failures of each service's answers, with decay.
     std::map<kernel::ServiceName, double> failureShares;
@@ -85,6 +92,12 @@
 /// The ready upstreams of a roll-out's service: those of its target, and the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
+/// Takes in how long a connection took; none where a kept one was used.
+void noteConnectTime(ForwardingState &state, kernel::Duration took);
+
+/// The time after which a connection will not come: many times what others lately took.
+kernel::Duration connectTimeout(const ForwardingState &state);
+
 /// Takes in how long an answer took.
 void noteAnswerTime(ForwardingState &state, const RouteName &route, kernel::Duration took);
 
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -20,8 +20,11 @@
 constexpr int consecutiveFailuresToAvoid = 4;
 constexpr kernel::Duration firstAvoidance = std::chrono::seconds(2);
 constexpr int maxAvoidanceDoublings = 3;
-// An upstream whose connections break is tried again after this, and each time later.
-constexpr kernel::Duration brokenAvoidance = std::chrono::milliseconds(500);
+// A silent upstream is tried again after this, and each time later.
+constexpr kernel::Duration silentAvoidance = std::chrono::milliseconds(500);
+// An upstream whose connections break is probed after this, and each time later.
+constexpr kernel::Duration firstProbeDelay = std::chrono::milliseconds(100);
+constexpr int maxProbeDoublings = 4;
 constexpr kernel::Duration fullAvoidance = std::chrono::milliseconds(100);
 
 const UpstreamRecord &recordOf(const UpstreamRecords &records, const Upstream &upstream)
@@ -130,7 +133,7 @@
         const UpstreamRecord &record = recordOf(records, *upstream);
         // One that comes back gets a single request until that has a good answer.
         const bool onTrial = record.ejections > 0 && record.inFlight > 0;
-        const bool avoid = record.avoidUntil > query.now || onTrial;
+        const bool avoid = record.unreachable || record.avoidUntil > query.now || onTrial;
         (avoid ? avoided : open).push_back(upstream);
     }
     if (open.empty()) {
@@ -164,6 +167,7 @@
     case RunOutcome::Good:
     case RunOutcome::Failed:
     case RunOutcome::Broken:
+    case RunOutcome::Silent:
         break;
     }
     const bool failed = outcome != RunOutcome::Good;
@@ -179,13 +183,20 @@
                               && record.failureShare > failureShareToAvoid
                               && record.failureShare > failureFactorToAvoid * serviceFailureShare;
     const bool broken = outcome == RunOutcome::Broken;
-    if (!broken && !oftenFailing && record.consecutiveFailures < consecutiveFailuresToAvoid)
+    const bool silent = outcome == RunOutcome::Silent;
+    if (!broken && !silent && !oftenFailing
+        && record.consecutiveFailures < consecutiveFailuresToAvoid)
         return false;
     // Several requests that end with the same breakdown count once.
-    if (record.avoidUntil > now)
+    if (record.unreachable || record.avoidUntil > now)
         return false;
-    const int doublings = std::min(record.ejections, maxAvoidanceDoublings);
-    record.avoidUntil = now + (broken ? brokenAvoidance : firstAvoidance) * (1 << doublings);
+    if (broken) {
+        record.unreachable = true;
+        record.probeAt = now + firstProbeDelay;
+    } else {
+        const int doublings = std::min(record.ejections, maxAvoidanceDoublings);
+        record.avoidUntil = now + (silent ? silentAvoidance : firstAvoidance) * (1 << doublings);
+    }
     ++record.ejections;
     record.consecutiveFailures = 0;
     record.failureShare = 0;
@@ -193,4 +204,17 @@
     return true;
 }
 
+void noteReached(UpstreamRecord &record, kernel::Instant now)
+{
+    record.unreachable = false;
+    record.failedProbes = 0;
+    record.avoidUntil = now;
+}
+
+void noteUnreached(UpstreamRecord &record, kernel::Instant now)
+{
+    const int doublings = std::min(++record.failedProbes, maxProbeDoublings);
+    record.probeAt = now + firstProbeDelay * (1 << doublings);
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -23,6 +23,11 @@
     int consecutiveFailures = 0;
     /// Times that it was avoided without a good answer between them.
     int ejections = 0;
+    /// A connection failed or broke; a probe finds out when one stands again.
+    bool unreachable = false;
+    kernel::Instant probeAt{};
+    /// Probes that failed in turn.
+    int failedProbes = 0;
     /// Gets work only when no other can take it.
     kernel::Instant avoidUntil{};
     /// Start of the process that the figures are about.
@@ -80,6 +85,8 @@
     Failed,
     /// No connection, or the connection broke: the process may be gone.
     Broken,
+    /// Nothing came for far longer than usual.
+    Silent,
     /// Refused for load.
     Full,
     /// Ended by us or the caller; says nothing.
@@ -90,4 +97,9 @@
 bool noteEnd(UpstreamRecord &record, RunOutcome outcome, double work, double serviceFailureShare,
              kernel::Instant now);
 
+/// A connection to the upstream stands again: it may have work.
+void noteReached(UpstreamRecord &record, kernel::Instant now);
+/// A probe failed too; the next one comes later.
+void noteUnreached(UpstreamRecord &record, kernel::Instant now);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -132,13 +132,14 @@
 // window.
 RC_GTEST_PROP(RetryBudgetProperty, HoldsOverAllDaemons, ())
 {
-    const RetryBounds bounds{ 0.9, 58, 10s };
-    const int daemons = *rc::gen::inRange(1, 9);
+    const bool large = *rc::gen::arbitrary<bool>();
+    const RetryBounds bounds{ 0.9, large ? 230.0 : 58.0, 10s };
+    const int daemons = large ? 37 : *rc::gen::inRange(1, 9);
     std::vector<RetryBudget> budgets(static_cast<std::size_t>(daemons));
     std::deque<kernel::Instant> requests;
     std::deque<kernel::Instant> repeats;
     kernel::Instant now = at(0);
-    const int steps = *rc::gen::inRange(1, 600);
+    const int steps = *rc::gen::inRange(1, 1500);
     for (int i = 0; i < steps; ++i) {
         now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
         RetryBudget &budget = budgets[static_cast<std::size_t>(*rc::gen::inRange(0, daemons))];
@@ -236,10 +237,10 @@
     sized.latencyObjective = 1000ms;
     const ModelWork reading{ "", 4000, 2, {} };
     const ModelWork writing{ "", 10, 4000, {} };
-    const ModelRules rules{ 50, 30, 0.2 };
+    const ModelRules rules{ 50, 35, 30, 0.2 };
     EXPECT_EQ(firstModel(sized, reading), "small");
     const auto ask = [&](const ModelWork &work, int confidence, int left, kernel::Duration time) {
-        return escalateTo(sized, rules, work, "small", confidence, left, time);
+        return escalateTo(sized, rules, work, "small", confidence, left, time, 0);
     };
     EXPECT_EQ(ask(reading, 40, 2, 900ms), "large");
     EXPECT_EQ(ask(reading, 60, 2, 900ms), "");
@@ -248,12 +249,35 @@
     EXPECT_EQ(ask(writing, 85, 2, 900ms), "");
     EXPECT_EQ(ask(reading, 40, 0, 900ms), "") << "no send is left";
     EXPECT_EQ(ask(reading, 40, 2, 100ms), "") << "too late";
-    EXPECT_EQ(escalateTo(sized, rules, reading, "large", 0, 2, 900ms), "");
-    EXPECT_EQ(escalateTo(sized, rules, reading, "small", std::nullopt, 2, 900ms), "");
+    EXPECT_EQ(escalateTo(sized, rules, reading, "large", 0, 2, 900ms, 0), "");
+    EXPECT_EQ(escalateTo(sized, rules, reading, "small", std::nullopt, 2, 900ms, 0), "");
     sized.models.clear();
     EXPECT_EQ(firstModel(sized, { "own", 1, 1, {} }), "own");
 }
 
+// Under load a doubtful answer in time is worth more than a sure one that makes others late.
+TEST(ModelChoice, AsksAgainLessOftenWhileTheEnginesAreBusy)
+{
+    Route sized = route("a", "/");
+    sized.models = { "small", "large" };
+    sized.latencyObjective = 1000ms;
+    const ModelWork reading{ "", 4000, 2, {} };
+    const ModelRules rules{ 50, 30, 0, 0.2 };
+    Punctuality punctuality;
+    const auto ask = [&](int confidence) {
+        return escalateTo(sized, rules, reading, "small", confidence, 2, 900ms,
+                          busyness(punctuality));
+    };
+    EXPECT_EQ(ask(40), "large");
+    for (int i = 0; i < 200; ++i)
+        notePunctuality(punctuality, i % 4 == 0);
+    EXPECT_EQ(ask(40), "");
+    EXPECT_EQ(ask(25), "large");
+    for (int i = 0; i < 400; ++i)
+        notePunctuality(punctuality, false);
+    EXPECT_EQ(ask(40), "large") << "it is calm again";
+}
+
 TEST(ModelChoice, EnginesTakeTheMostUrgentRouteFirst)
 {
     EXPECT_LT(engineUrgency(0, 9), engineUrgency(1, 0)) << "a workspace's rank counts among equals";
--- a/src/forwarding/tests/fakes.cpp
+++ b/src/forwarding/tests/fakes.cpp
@@ -25,6 +25,7 @@
 {
     ForwarderPorts ports;
     ports.send = site.http.sender();
+    ports.connect = site.http.connector();
     ports.wire = plainWire();
     ports.writeRollout = [&site](const Rollout &rollout, const RolloutStep &step) {
         site.steps.emplace_back(rollout, step);
@@ -108,6 +109,15 @@
     return std::string(http::findHeader(headers, name).value_or(""));
 }
 
+Connector FakeHttp::connector()
+{
+    return [this](const kernel::Endpoint &endpoint, kernel::Duration,
+                  kernel::Callback<kernel::Done> callback) {
+        connects.push_back({ endpoint, std::move(callback) });
+        return std::make_unique<http::Exchange>();
+    };
+}
+
 UpstreamWire plainWire()
 {
     UpstreamWire wire;
--- a/src/forwarding/tests/fakes.h
+++ b/src/forwarding/tests/fakes.h
@@ -29,13 +29,25 @@
     void answer(int status, std::string_view text);
 };
 
+/// One connection that is opened without a request, whose end a test gives by hand.
+struct Connect
+{
+    kernel::Endpoint endpoint;
+    kernel::Callback<kernel::Done> callback;
+
+    void stands() { callback(kernel::Done{}); }
+    void fails() { callback(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, "test" }); }
+};
+
 /// Collects what the flow sends.
 class FakeHttp
 {
 public:
     HttpSender sender();
+    Connector connector();
     Send &last() { return *sends.back(); }
     std::vector<std::shared_ptr<Send>> sends;
+    std::vector<Connect> connects;
 };
 
 /// What a caller got.
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -240,9 +240,53 @@
     site.ask("/unsafe/x");
     site.http.last().connect();
     site.http.last().fail(kernel::ResultCode::UpstreamBroken);
-    EXPECT_GT(site.forwarder.state().records.at(id).avoidUntil, site.clock.now());
+    EXPECT_TRUE(site.forwarder.state().records.at(id).unreachable);
     Upstream again = site.forwarder.state().directory.upstreams.at(id).entry;
     again.startedAtMs = 12345;
     site.forwarder.setUpstream(again);
+    EXPECT_FALSE(site.forwarder.state().records.at(id).unreachable);
     EXPECT_LE(site.forwarder.state().records.at(id).avoidUntil, site.clock.now());
 }
+
+// Seen on a large site while the store turned a third of the routers away: each request that met an
+// upstream which had left paid for finding out, again and again.
+TEST(ForwarderTest, AnUnreachableUpstreamIsProbedWithoutRequests)
+{
+    Site site;
+    for (const char *other : { "d2", "d3" })
+        site.forwarder.dropUpstream(kernel::UpstreamId(other));
+    site.clock.advance(3s);
+    site.ask("/unsafe/x");
+    site.http.last().fail(kernel::ResultCode::UpstreamConnectFailed);
+    const kernel::UpstreamId id("d1");
+    const auto record
+        = [&]() -> const UpstreamRecord & { return site.forwarder.state().records.at(id); };
+    site.http.connects.clear();
+    site.clock.advance(300ms);
+    ASSERT_EQ(site.http.connects.size(), 1U);
+    site.clock.advance(5s);
+    EXPECT_EQ(site.http.connects.size(), 1U) << "one at a time";
+    site.http.connects[0].fails();
+    EXPECT_TRUE(record().unreachable);
+    site.clock.advance(5s);
+    ASSERT_EQ(site.http.connects.size(), 2U);
+    site.http.connects[1].stands();
+    EXPECT_FALSE(record().unreachable);
+    site.clock.advance(5s);
+    EXPECT_EQ(site.http.connects.size(), 2U);
+}
+
+TEST(ForwarderTest, AConnectionThatWillNotComeIsKnownSoon)
+{
+    Site site;
+    for (int i = 0; i < 10; ++i) {
+        const auto caller = site.ask("/safe/x");
+        site.clock.advance(2ms);
+        site.http.last().answer(200, "ok");
+    }
+    EXPECT_EQ(connectTimeout(site.forwarder.state()), 50ms);
+    site.ask("/safe/x");
+    site.clock.advance(20ms);
+    site.http.last().answer(200, "ok");
+    EXPECT_EQ(connectTimeout(site.forwarder.state()), 200ms) << "a busy machine takes longer";
+}
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -52,7 +52,7 @@
 {
     kernel::ManualScheduler clock;
     FakeHttp http;
-    Forwarder forwarder(clock.scheduler(), { http.sender(), plainWire(), {}, {} }, {},
+    Forwarder forwarder(clock.scheduler(), { http.sender(), {}, plainWire(), {}, {} }, {},
                         kernel::Random(1));
     auto caller = std::make_shared<FakeResponder>();
     Request request;
@@ -315,6 +315,63 @@
     EXPECT_TRUE(site.http.last().cancelled);
 }
 
+// Seen when the retry budget was spent: a stream whose engine was slow was cut, though nothing else
+// could take it up.
+TEST(JobTest, ASilentStreamThatNobodyCanTakeUpIsWaitedFor)
+{
+    Site site;
+    const auto caller = site.ask("/chat/x");
+    const auto stream = site.http.sends.back();
+    stream->connect();
+    stream->head(200, events);
+    stream->body(firstEvent);
+    // The budget of the service is spent by others.
+    for (int i = 0; i < 40; ++i) {
+        const auto other = site.ask("/chat/x", std::to_string(i));
+        for (int sends = 0; sends < 3 && !other->ended; ++sends) {
+            site.http.last().connect();
+            site.http.last().fail(kernel::ResultCode::UpstreamBroken);
+        }
+    }
+    site.clock.advance(4s);
+    EXPECT_FALSE(stream->cancelled);
+    EXPECT_FALSE(caller->ended);
+    stream->body(secondEvent);
+    stream->complete();
+    EXPECT_EQ(caller->body, std::string(firstEvent) + std::string(secondEvent));
+    EXPECT_FALSE(caller->aborted);
+}
+
+TEST(JobTest, BytesThatMakeNoEventDoNotKeepAStalledStream)
+{
+    Site site;
+    site.ask("/chat/x");
+    const auto stalled = site.http.sends.back();
+    stalled->connect();
+    stalled->head(200, events);
+    stalled->body(firstEvent);
+    for (int i = 0; i < 40 && !stalled->cancelled; ++i) {
+        stalled->body(":");
+        site.clock.advance(100ms);
+    }
+    EXPECT_TRUE(stalled->cancelled);
+    EXPECT_EQ(sentHeader(site.http.last(), "resume"), "1");
+}
+
+TEST(JobTest, AnAnswerWithoutEndIsNotHeldInMemory)
+{
+    Site site;
+    const auto caller = site.ask("/unsafe/x");
+    Send &send = site.http.last();
+    send.connect();
+    send.head(200, { { "proof", "p" } });
+    caller->queued = 1U << 20U;
+    const std::string piece(64U << 10U, 'x');
+    for (int i = 0; i < 5; ++i)
+        send.body(piece);
+    EXPECT_TRUE(send.paused) << "the caller reads nothing";
+}
+
 TEST(JobTest, TheAnswerLeavesBeforeTheCallersTimeIsOver)
 {
     Site site;
--- a/src/forwarding/tests/upstreamchoice_tests.cpp
+++ b/src/forwarding/tests/upstreamchoice_tests.cpp
@@ -67,7 +67,7 @@
 {
     UpstreamRecord &back = m_records[m_upstreams[0].id];
     noteBegin(back, 1);
-    noteEnd(back, RunOutcome::Broken, 1, 0, m_query.now);
+    noteEnd(back, RunOutcome::Silent, 1, 0, m_query.now);
     m_query.now = back.avoidUntil;
     m_candidates = { &m_upstreams[0], &m_upstreams[1] };
     // The other one has work, so the one that is back is the less loaded.
@@ -80,6 +80,17 @@
     EXPECT_EQ(choose().upstream, &m_upstreams[0]);
 }
 
+TEST_F(Choice, UnreachableOnesAreTheLastResort)
+{
+    m_records[m_upstreams[0].id].unreachable = true;
+    m_candidates = { &m_upstreams[0], &m_upstreams[1] };
+    for (int i = 0; i < 20; ++i)
+        noteBegin(m_records[m_upstreams[1].id], 1);
+    EXPECT_EQ(choose().upstream, &m_upstreams[1]);
+    m_candidates = { &m_upstreams[0] };
+    EXPECT_EQ(choose().upstream, &m_upstreams[0]);
+}
+
 TEST_F(Choice, PlainWorkStaysNearWhileThereIsRoom)
 {
     for (int i = 0; i < 4; ++i) {
@@ -143,14 +154,36 @@
     for (int i = 0; i < 20; ++i)
         noteBegin(record, 1);
     for (int i = 0; i < 20; ++i)
-        noteEnd(record, RunOutcome::Broken, 1, 0, now);
+        noteEnd(record, RunOutcome::Silent, 1, 0, now);
     EXPECT_EQ(record.avoidUntil, now + 500ms);
     EXPECT_EQ(record.ejections, 1);
     noteBegin(record, 1);
-    noteEnd(record, RunOutcome::Broken, 1, 0, now + 600ms);
+    noteEnd(record, RunOutcome::Silent, 1, 0, now + 600ms);
     EXPECT_EQ(record.avoidUntil, now + 600ms + 1000ms) << "longer each time";
 }
 
+TEST(UpstreamRecordTest, ABrokenOneIsOutUntilAConnectionStands)
+{
+    UpstreamRecord record;
+    const kernel::Instant now(10s);
+    for (int i = 0; i < 3; ++i)
+        noteBegin(record, 1);
+    for (int i = 0; i < 3; ++i)
+        noteEnd(record, RunOutcome::Broken, 1, 0, now);
+    EXPECT_TRUE(record.unreachable);
+    EXPECT_EQ(record.ejections, 1);
+    EXPECT_EQ(record.probeAt, now + 100ms);
+    noteUnreached(record, now + 100ms);
+    EXPECT_EQ(record.probeAt, now + 300ms);
+    for (int i = 0; i < 10; ++i)
+        noteUnreached(record, now);
+    EXPECT_EQ(record.probeAt, now + 1600ms) << "the longest pause";
+    noteReached(record, now + 2s);
+    EXPECT_FALSE(record.unreachable);
+    EXPECT_LE(record.avoidUntil, now + 2s);
+    EXPECT_EQ(record.ejections, 1) << "a single request shows whether it works";
+}
+
 TEST(Patience, FollowsWhatIsUsualWithinItsBounds)
 {
     const PatienceBounds bounds{ 100ms, 2000ms };
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -11,6 +11,7 @@
 
 #include "http/internal/address.h"
 #include "http/internal/answerparser.h"
+#include "http/internal/connectprobe.h"
 #include "http/internal/h2oheaders.h"
 #include "http/internal/idleconnections.h"
 #include "http/internal/sockettimeouts.h"
@@ -428,6 +429,17 @@
     return handle;
 }
 
+std::unique_ptr<Exchange> Client::connect(const kernel::Endpoint &endpoint,
+                                          kernel::Duration timeout,
+                                          kernel::Callback<kernel::Done> callback)
+{
+    auto probe = std::make_unique<ConnectProbe>(m_impl->loop.scheduler(), m_impl->idle, endpoint,
+                                                std::move(callback));
+    probe->begin(m_impl->loop, timeout);
+    ++m_impl->opened;
+    return probe;
+}
+
 void Client::fetch(const ClientRequest &request, kernel::Callback<ClientResponse> callback)
 {
     struct Fetch
@@ -440,7 +452,15 @@
     fetch->callback = std::move(callback);
     ClientHandlers handlers;
     handlers.onHead = [fetch](const ClientHead &head) { fetch->response.head = head; };
-    handlers.onBody = [fetch](std::string_view piece) { fetch->response.body += piece; };
+    handlers.onBody = [fetch](std::string_view piece) {
+        fetch->response.body += piece;
+        if (fetch->response.body.size() <= maxFetchedBody)
+            return;
+        const std::unique_ptr<Exchange> exchange = std::move(fetch->exchange);
+        fetch->response = {};
+        fetch->callback(
+            kernel::Error{ kernel::ResultCode::UpstreamProtocol, "the answer is too large" });
+    };
     handlers.onEnd = [fetch](const kernel::Completion<kernel::Done> &outcome) {
         const std::unique_ptr<Exchange> exchange = std::move(fetch->exchange);
         if (outcome.ok())
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -71,6 +71,9 @@
     virtual void pauseReading(bool pause) { (void) pause; }
 };
 
+/// Largest answer, in bytes, that fetch() collects.
+constexpr std::size_t maxFetchedBody = 16U << 20U;
+
 /// An HTTP/1.1 client with a pool of connections for each endpoint.
 class Client
 {
@@ -83,10 +86,16 @@
     /// Sends a request; the caller keeps the exchange until onEnd.
     std::unique_ptr<Exchange> send(const ClientRequest &request, ClientHandlers handlers);
 
+    /// Opens a connection without a request and keeps it for the next one; destroying the result
+    /// cancels it. Errors: UpstreamConnectFailed.
+    std::unique_ptr<Exchange> connect(const kernel::Endpoint &endpoint, kernel::Duration timeout,
+                                      kernel::Callback<kernel::Done> callback);
+
     /// Connections that were opened, ever.
     std::uint64_t connectionsOpened() const;
 
-    /// Sends a request and collects the whole answer; it can't be cancelled.
+    /// Sends a request and collects the whole answer; it can't be cancelled. Errors: those of
+    /// ClientHandlers::onEnd; UpstreamProtocol also where the answer is larger than maxFetchedBody.
     void fetch(const ClientRequest &request, kernel::Callback<ClientResponse> callback);
 
 private:
--- a/src/framework/http/tests/clientfaults_tests.cpp
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -167,3 +167,71 @@
     EXPECT_TRUE(m_loop.runUntil([&] { return dropped; }, patience));
     m_loop.runUntil([] { return false; }, 20ms);
 }
+
+// Whatever an upstream sends without end, the request ends truthfully and little of it is held.
+TEST_F(ClientFaults, AHeadWithoutEndIsNoAnswer)
+{
+    const std::string line = "x-more: " + std::string(8000, 'a') + "\r\n";
+    for (const std::string &begin :
+         { std::string("HTTP/1.1 200 OK\r\nx-id: 7\r\n"), std::string("HTTP/1.1 200 ") }) {
+        send();
+        m_server.awaitRequest();
+        m_server.send(begin);
+        for (int i = 0; i < 100 && !m_end; ++i) {
+            m_server.send(begin.ends_with("\n") ? line : std::string(8000, 'a'));
+            m_loop.runUntil([&] { return m_end.has_value(); }, 2ms);
+        }
+        EXPECT_EQ(end(), kernel::ResultCode::UpstreamProtocol);
+    }
+}
+
+TEST_F(ClientFaults, AFetchedBodyWithoutEndIsGivenUp)
+{
+    std::optional<kernel::Completion<ClientResponse>> result;
+    m_client.fetch(
+        { .endpoint = m_server.endpoint() },
+        [&](kernel::Completion<ClientResponse> outcome) { result = std::move(outcome); });
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\n\r\n");
+    const std::string piece(64U << 10U, 'a');
+    std::size_t sent = 0;
+    while (!result && sent < 4 * maxFetchedBody) {
+        m_server.send(piece);
+        sent += piece.size();
+        m_loop.runUntil([&] { return result.has_value(); }, 1ms);
+    }
+    ASSERT_TRUE(result.has_value());
+    ASSERT_FALSE(result->ok());
+    EXPECT_EQ(result->error().code, kernel::ResultCode::UpstreamProtocol);
+}
+
+TEST_F(ClientFaults, AConnectionOpenedAheadServesTheNextRequest)
+{
+    std::optional<bool> stands;
+    const auto probe = m_client.connect(
+        m_server.endpoint(), 5s,
+        [&](const kernel::Completion<kernel::Done> &outcome) { stands = outcome.ok(); });
+    ASSERT_TRUE(m_loop.runUntil([&] { return stands.has_value(); }, patience));
+    EXPECT_TRUE(*stands);
+    send();
+    m_server.awaitRequest();
+    m_server.send(whole);
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+    EXPECT_EQ(m_server.connections(), 1U);
+}
+
+TEST_F(ClientFaults, AConnectionThatCantBeOpenedIsReported)
+{
+    for (const kernel::Endpoint &nobody :
+         { kernel::Endpoint{ "127.0.0.1", 1 }, kernel::Endpoint{ "nowhere", 1 } }) {
+        std::optional<kernel::Completion<kernel::Done>> outcome;
+        const auto probe
+            = m_client.connect(nobody, 5s, [&](kernel::Completion<kernel::Done> result) {
+                  outcome = std::move(result);
+              });
+        EXPECT_FALSE(outcome.has_value()) << "never from within the call";
+        ASSERT_TRUE(m_loop.runUntil([&] { return outcome.has_value(); }, patience));
+        ASSERT_FALSE(outcome->ok());
+        EXPECT_EQ(outcome->error().code, kernel::ResultCode::UpstreamConnectFailed);
+    }
+}
