Routers that the store turns away find out a completed roll-out; a replaced upstream is left alone; silences count as times

The times of silences that were ended were not taken into what is usual, so under load patience stayed at its least and prompts were read again elsewhere.

Change: while the store is away and no upstream of a request's version can be reached, all versions count; 421 takes an upstream out for 8 s; a silence counts as the time that it lasted. A silence is no crash any more.

--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -116,7 +116,7 @@
     query.patientPart = patientPart(m_state.laneWork[m_plan.service]);
     query.exclude = &m_tried;
     query.now = now();
-    const auto candidates = candidatesOf(m_state.directory, m_plan.service, version);
+    const auto candidates = reachableCandidates(m_state, m_plan.service, version);
     UpstreamChoice choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
     if (choice.upstream == nullptr && !m_tried.empty()) {
         // All had it; one that refused or broke may take it now.
@@ -246,11 +246,21 @@
         return;
     }
     m_repeatTaken = true;
+    noteSilence(silent);
     // A version that is far too slow shows it by answers that nobody waits for.
     review(reviewFailure);
     failAttempt(AttemptFailure::Silent, "silent");
 }
 
+// A silence that was ended counts as the time it lasted at least; otherwise the times of a busy
+// service would look like those of a calm one.
+void Job::noteSilence(kernel::Duration silent)
+{
+    UsualTimes &usual = m_state.usual;
+    auto &times = m_attempt->firstByteSeen ? usual.betweenEvents : usual.firstByte;
+    noteTime(times[{ m_plan.route.name, m_attempt->model }], silent);
+}
+
 void Job::onHead(const http::ClientHead &clientHead)
 {
     const auto self = shared_from_this();
@@ -488,10 +498,9 @@
         closeAttempt(RunOutcome::Broken);
         break;
     case AttemptFailure::WrongUpstream:
-        closeAttempt(RunOutcome::Broken);
+        closeAttempt(RunOutcome::Replaced);
         break;
     case AttemptFailure::Silent:
-        noteCrash(m_state.crashes, m_plan.fingerprint, m_attempt->upstream, now());
         closeAttempt(RunOutcome::Silent);
         break;
     case AttemptFailure::Lost:
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -70,6 +70,7 @@
     void review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
     void onSilence();
+    void noteSilence(kernel::Duration silent);
     void armSilence(kernel::Duration delay);
     void onDeadline();
     void onCallerGone();
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -71,6 +71,20 @@
     return result;
 }
 
+std::vector<const Upstream *> reachableCandidates(const ForwardingState &state,
+                                                  const kernel::ServiceName &service,
+                                                  VersionChoice version)
+{
+    auto candidates = candidatesOf(state.directory, service, version);
+    if (version == VersionChoice::Any || !state.directory.storeAway)
+        return candidates;
+    const bool reachable = std::ranges::any_of(candidates, [&](const Upstream *upstream) {
+        const auto record = state.records.find(upstream->id);
+        return record == state.records.end() || !record->second.unreachable;
+    });
+    return reachable ? candidates : candidatesOf(state.directory, service, VersionChoice::Any);
+}
+
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout)
 {
     std::pair<int, int> counts{ 0, 0 };
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -89,6 +89,12 @@
 std::vector<const Upstream *>
 candidatesOf(const Directory &directory, const kernel::ServiceName &service, VersionChoice version);
 
+/// The same, or all versions where the store can't be followed and none of those can be reached: a
+/// roll-out was then completed, or taken back, without this daemon's knowledge.
+std::vector<const Upstream *> reachableCandidates(const ForwardingState &state,
+                                                  const kernel::ServiceName &service,
+                                                  VersionChoice version);
+
 /// The ready upstreams of a roll-out's service: those of its target, and the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -22,6 +22,8 @@
 constexpr int maxAvoidanceDoublings = 3;
 // A silent upstream is tried again after this, and each time later.
 constexpr kernel::Duration silentAvoidance = std::chrono::milliseconds(500);
+// An upstream whose address another has leaves the registrations within this time.
+constexpr kernel::Duration replacedAvoidance = std::chrono::seconds(8);
 // An upstream whose connections break is probed after this, and each time later.
 constexpr kernel::Duration firstProbeDelay = std::chrono::milliseconds(100);
 constexpr int maxProbeDoublings = 4;
@@ -169,6 +171,9 @@
     case RunOutcome::Broken:
     case RunOutcome::Silent:
         break;
+    case RunOutcome::Replaced:
+        record.avoidUntil = now + replacedAvoidance;
+        return true;
     }
     const bool failed = outcome != RunOutcome::Good;
     record.failureShare += failureDecay * ((failed ? 1 : 0) - record.failureShare);
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -85,6 +85,8 @@
     Failed,
     /// No connection, or the connection broke: the process may be gone.
     Broken,
+    /// Another process has the address.
+    Replaced,
     /// Nothing came for far longer than usual.
     Silent,
     /// Refused for load.
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -276,6 +276,30 @@
     EXPECT_EQ(site.http.connects.size(), 2U);
 }
 
+// Seen on a large site: a roll-out was completed and the old upstreams stopped while the store
+// turned a third of the routers away; these refused 800 requests.
+TEST(ForwarderTest, ACompletedRolloutIsFoundOutWithoutTheStore)
+{
+    Site site;
+    beginRollout(site);
+    Rollout rollout = order(2);
+    rollout.state = RolloutState::Running;
+    site.forwarder.setRollout(rollout);
+    site.forwarder.setStoreReachable(false);
+    int asked = 0;
+    // The old upstreams are gone; each is found out once.
+    for (int i = 0; i < 3; ++i) {
+        askInSession(site, "/once/x", "m", ++asked);
+        site.http.last().fail(kernel::ResultCode::UpstreamConnectFailed);
+        if (!isOnTarget(site.http.last()))
+            site.http.last().fail(kernel::ResultCode::UpstreamConnectFailed);
+    }
+    EXPECT_TRUE(isOnTarget(askInSession(site, "/once/x", "m", ++asked)));
+    site.forwarder.setStoreReachable(true);
+    EXPECT_FALSE(isOnTarget(askInSession(site, "/once/x", "m", ++asked)))
+        << "the store's word goes before what this router finds out";
+}
+
 TEST(ForwarderTest, AConnectionThatWillNotComeIsKnownSoon)
 {
     Site site;
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -372,6 +372,40 @@
     EXPECT_TRUE(send.paused) << "the caller reads nothing";
 }
 
+// A busy service makes everybody wait: its silences are no reason to read prompts again elsewhere.
+TEST(JobTest, SilenceOfManyLengthensThePatience)
+{
+    Site site;
+    const UsualTimes::Key key{ RouteName("chat"), "small" };
+    for (int i = 0; i < 20; ++i) {
+        site.ask("/chat/x", std::to_string(i));
+        site.http.last().connect();
+        site.clock.advance(50ms);
+        site.http.last().answer(200, "ok");
+    }
+    const auto before = site.forwarder.state().usual.firstByte.at(key).seconds;
+    for (int i = 0; i < 5; ++i) {
+        site.ask("/chat/x", std::to_string(i));
+        site.http.last().connect();
+        site.clock.advance(800ms);
+    }
+    EXPECT_GT(site.forwarder.state().usual.firstByte.at(key).seconds, 2 * before);
+}
+
+TEST(JobTest, ASilentRequestIsNoCrash)
+{
+    Site site;
+    for (int i = 0; i < 4; ++i) {
+        const auto caller = site.ask("/chat/x", "same");
+        for (int sends = 0; sends < 3; ++sends) {
+            site.http.last().connect();
+            site.clock.advance(4s);
+        }
+    }
+    site.clock.advance(20s);
+    EXPECT_FALSE(site.ask("/chat/x", "same")->ended);
+}
+
 TEST(JobTest, TheAnswerLeavesBeforeTheCallersTimeIsOver)
 {
     Site site;
--- a/src/forwarding/tests/upstreamchoice_tests.cpp
+++ b/src/forwarding/tests/upstreamchoice_tests.cpp
@@ -184,6 +184,16 @@
     EXPECT_EQ(record.ejections, 1) << "a single request shows whether it works";
 }
 
+TEST(UpstreamRecordTest, OneWhoseAddressAnotherHasIsOutForLong)
+{
+    UpstreamRecord record;
+    const kernel::Instant now(10s);
+    noteBegin(record, 1);
+    EXPECT_TRUE(noteEnd(record, RunOutcome::Replaced, 1, 0, now));
+    EXPECT_FALSE(record.unreachable) << "a connection would say nothing";
+    EXPECT_GE(record.avoidUntil, now + 4s);
+}
+
 TEST(Patience, FollowsWhatIsUsualWithinItsBounds)
 {
     const PatienceBounds bounds{ 100ms, 2000ms };
