A silent upstream is checked by a connection; several cut-off ones make their data centre suspect

Change: after 300 ms of silence the router opens a connection to the upstream. If none comes within the connect time-out the upstream is out and what waits there in silence goes elsewhere, if it may be repeated; from the second such upstream of a data centre within 2 s all its others are probed. One that takes a connection is waited for as before.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -14,6 +14,10 @@
 constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(15);
 constexpr std::uint64_t rolloutAskers = 20;
 
+// So many upstreams of one data centre that are cut off within this time make all of it suspect.
+constexpr int cutOffsToSuspect = 2;
+constexpr kernel::Duration cutOffWindow = std::chrono::seconds(2);
+
 kernel::Duration rolloutAskDelay(const kernel::VmId &vm, const kernel::ServiceName &service)
 {
     const std::uint64_t rank = kernel::hash64(vm.str(), kernel::hash64(service.str()));
@@ -229,37 +233,76 @@
 void Forwarder::probeUnreachable()
 {
     const kernel::Instant now = m_state.scheduler.now();
+    std::set<kernel::UpstreamId> due = std::exchange(m_state.toProbe, {});
     for (const auto &[id, record] : m_state.records) {
-        if (!record.unreachable || record.probeAt > now || m_probes.contains(id))
-            continue;
+        if (record.unreachable && record.probeAt <= now)
+            due.insert(id);
+    }
+    for (const kernel::UpstreamId &id : due) {
         const auto known = m_state.directory.upstreams.find(id);
-        if (known != m_state.directory.upstreams.end())
+        if (known != m_state.directory.upstreams.end() && !m_probes.contains(id))
             probe(id, known->second.entry.endpoint);
     }
 }
 
 void Forwarder::probe(const kernel::UpstreamId &id, const kernel::Endpoint &endpoint)
 {
-    m_probes[id] = m_connect(endpoint, connectTimeout(m_state),
-                             [this, id](const kernel::Completion<kernel::Done> &outcome) {
-                                 onProbed(id, outcome.ok());
-                             });
+    m_probes[id] = m_connect(
+        endpoint, connectTimeout(m_state),
+        [this, id](const kernel::Completion<kernel::Done> &outcome) { onProbed(id, outcome); });
 }
 
-void Forwarder::onProbed(const kernel::UpstreamId &id, bool reached)
+void Forwarder::onProbed(const kernel::UpstreamId &id,
+                         const kernel::Completion<kernel::Done> &outcome)
 {
     const auto probe = std::move(m_probes[id]);
     m_probes.erase(id);
+    if (!outcome.ok()) {
+        onUnreached(id, outcome.error().code);
+        return;
+    }
     const auto record = m_state.records.find(id);
     if (record == m_state.records.end() || !record->second.unreachable)
         return;
+    noteReached(record->second, m_state.scheduler.now());
+    kernel::logEvent(kernel::EventId::UpstreamReturned, { { "upstream", id } });
+}
+
+void Forwarder::onUnreached(const kernel::UpstreamId &id, kernel::ResultCode code)
+{
+    const auto known = m_state.directory.upstreams.find(id);
+    if (known == m_state.directory.upstreams.end())
+        return;
+    const kernel::Instant now = m_state.scheduler.now();
+    if (!noteCutOff(m_state.records[id], now))
+        return;
+    kernel::logEvent(kernel::EventId::UpstreamEjected,
+                     { { "upstream", id },
+                       { "service", known->second.entry.service },
+                       { "request", "" },
+                       { "ejections", m_state.records[id].ejections } });
+    if (code == kernel::ResultCode::UpstreamTimeout)
+        suspectDataCentre(known->second.entry.dataCentre);
+    std::vector<std::shared_ptr<Job>> jobs;
+    for (const auto &[key, job] : m_jobs)
+        jobs.push_back(job);
+    for (const std::shared_ptr<Job> &job : jobs)
+        job->onUnreachable(id);
+}
+
+// Several upstreams that fall silent at once may be cut off with all their neighbours.
+void Forwarder::suspectDataCentre(const kernel::DataCentreId &dataCentre)
+{
     const kernel::Instant now = m_state.scheduler.now();
-    if (!reached) {
-        noteUnreached(record->second, now);
+    CutOffs &cutOffs = m_cutOffs[dataCentre];
+    if (now - cutOffs.since > cutOffWindow)
+        cutOffs = { now, 0 };
+    if (++cutOffs.upstreams != cutOffsToSuspect)
         return;
+    for (const auto &[id, known] : m_state.directory.upstreams) {
+        if (known.entry.dataCentre == dataCentre && !m_state.records[id].unreachable)
+            m_state.toProbe.insert(id);
     }
-    noteReached(record->second, now);
-    kernel::logEvent(kernel::EventId::UpstreamReturned, { { "upstream", id } });
 }
 
 // Drops the records of upstreams that are gone and idle.
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -13,6 +13,13 @@
 /// changed. What became of it comes back with the roll-out's next change.
 using RolloutWriter = std::function<void(const Rollout &rollout, const RolloutStep &step)>;
 
+/// Upstreams of one data centre that could not be reached.
+struct CutOffs
+{
+    kernel::Instant since{};
+    int upstreams = 0;
+};
+
 struct ForwarderPorts
 {
     HttpSender send;
@@ -63,12 +70,16 @@
     bool isCondemnedTogether(const Rollout &rollout) const;
     void probeUnreachable();
     void probe(const kernel::UpstreamId &id, const kernel::Endpoint &endpoint);
-    void onProbed(const kernel::UpstreamId &id, bool reached);
+    void onProbed(const kernel::UpstreamId &id, const kernel::Completion<kernel::Done> &outcome);
+    void onUnreached(const kernel::UpstreamId &id, kernel::ResultCode code);
+    void suspectDataCentre(const kernel::DataCentreId &dataCentre);
     void forgetRecords();
 
     ForwardingState m_state;
     Connector m_connect;
     std::map<kernel::UpstreamId, std::unique_ptr<http::Exchange>> m_probes;
+    // Upstreams of each data centre that lately were found to be cut off.
+    std::map<kernel::DataCentreId, CutOffs> m_cutOffs;
     RolloutWriter m_writeRollout;
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -32,6 +32,9 @@
 constexpr kernel::Duration reviewInterval = std::chrono::milliseconds(250);
 // Upstreams that a request tries in vain to reach before it is refused.
 constexpr int maxUnreached = 4;
+// Silence after which it is checked whether the upstream can be reached, and again.
+constexpr kernel::Duration reachCheckAfter = std::chrono::milliseconds(300);
+constexpr kernel::Duration reachCheckInterval = std::chrono::seconds(1);
 constexpr double failureShareDecay = 0.02;
 // Unless more is known, a caller may come back after this time, spread so that they don't return
 // together.
@@ -212,8 +215,10 @@
     m_repeatTaken = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
-    if (mayRepeat(m_attempts))
+    if (mayRepeat(m_attempts)) {
         armSilence(silenceAllowed());
+        armReachCheck(reachCheckAfter);
+    }
 }
 
 kernel::Duration Job::silenceAllowed() const
@@ -240,16 +245,49 @@
     }
     if (!mayRepeat(m_attempts) || timeLeft() < minAttemptTime)
         return;
-    // Waiting on is better than ending a request that can't go elsewhere.
+    noteSilence(silent);
+    moveOn("silent");
+}
+
+// Waiting on is better than ending a request that can't go elsewhere.
+void Job::moveOn(std::string_view why)
+{
     if (!takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now())) {
-        armSilence(allowed);
+        armSilence(silenceAllowed());
         return;
     }
     m_repeatTaken = true;
-    noteSilence(silent);
     // A version that is far too slow shows it by answers that nobody waits for.
     review(reviewFailure);
-    failAttempt(AttemptFailure::Silent, "silent");
+    failAttempt(AttemptFailure::Silent, why);
+}
+
+void Job::armReachCheck(kernel::Duration delay)
+{
+    m_reachCheck = kernel::Timer(m_state.scheduler, delay, [this] { onReachCheck(); });
+}
+
+// Whether an upstream is slow or can't be reached shows long before its silence is unusual.
+void Job::onReachCheck()
+{
+    if (!m_attempt || !m_exchange)
+        return;
+    const kernel::Duration silent = now() - m_attempt->lastActivity;
+    if (silent < reachCheckAfter) {
+        armReachCheck(reachCheckAfter - silent);
+        return;
+    }
+    m_state.toProbe.insert(m_attempt->upstream);
+    armReachCheck(reachCheckInterval);
+}
+
+void Job::onUnreachable(const kernel::UpstreamId &upstream)
+{
+    const auto self = shared_from_this();
+    const bool waits = m_attempt && m_exchange && m_attempt->sent && m_attempt->upstream == upstream
+                       && now() - m_attempt->lastActivity >= reachCheckAfter;
+    if (waits && mayRepeat(m_attempts) && timeLeft() >= minAttemptTime)
+        moveOn("unreachable");
 }
 
 // A silence that was ended counts as the time it lasted at least; otherwise the times of a busy
@@ -458,6 +496,7 @@
 void Job::closeAttempt(RunOutcome outcome)
 {
     m_silence.cancel();
+    m_reachCheck.cancel();
     m_review.cancel();
     m_exchange = nullptr;
     const bool judged = outcome == RunOutcome::Good || outcome == RunOutcome::Failed;
@@ -580,6 +619,7 @@
     m_done = true;
     m_deadline.cancel();
     m_silence.cancel();
+    m_reachCheck.cancel();
     m_review.cancel();
     m_exchange = nullptr;
     reportFinish(m_state, m_request, m_plan,
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -25,6 +25,10 @@
 
     void start();
 
+    /// The upstream can't be reached: a request that waits there in silence goes elsewhere, if it
+    /// may.
+    void onUnreachable(const kernel::UpstreamId &upstream);
+
 private:
     // What was decided of the attempt in progress.
     struct Attempt
@@ -70,6 +74,9 @@
     void review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
     void onSilence();
+    void moveOn(std::string_view why);
+    void armReachCheck(kernel::Duration delay);
+    void onReachCheck();
     void noteSilence(kernel::Duration silent);
     void armSilence(kernel::Duration delay);
     void onDeadline();
@@ -87,6 +94,7 @@
     kernel::Instant m_end{};
     kernel::Timer m_deadline;
     kernel::Timer m_silence;
+    kernel::Timer m_reachCheck;
     kernel::Timer m_review;
     AttemptState m_attempts;
     std::set<kernel::UpstreamId> m_tried;
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <utility>
 
 #include "forwarding/internal/crashlist.h"
@@ -70,6 +71,8 @@
 
     Directory directory;
     UpstreamRecords records;
+    /// Upstreams that have been silent for a while; whether they can be reached is to be found out.
+    std::set<kernel::UpstreamId> toProbe;
     /// Longest time that a connection lately took, with decay.
     kernel::Duration slowestConnect{};
     /// Follows from the configuration in force.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/upstreamchoice.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciasail::forwarding {
 
@@ -209,6 +210,15 @@
     return true;
 }
 
+bool noteCutOff(UpstreamRecord &record, kernel::Instant now)
+{
+    noteUnreached(record, now);
+    if (std::exchange(record.unreachable, true))
+        return false;
+    ++record.ejections;
+    return true;
+}
+
 void noteReached(UpstreamRecord &record, kernel::Instant now)
 {
     record.unreachable = false;
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -99,6 +99,8 @@
 bool noteEnd(UpstreamRecord &record, RunOutcome outcome, double work, double serviceFailureShare,
              kernel::Instant now);
 
+/// A silent upstream can't be reached; true if that is new.
+bool noteCutOff(UpstreamRecord &record, kernel::Instant now);
 /// A connection to the upstream stands again: it may have work.
 void noteReached(UpstreamRecord &record, kernel::Instant now);
 /// A probe failed too; the next one comes later.
--- a/src/forwarding/tests/fakes.h
+++ b/src/forwarding/tests/fakes.h
@@ -36,7 +36,10 @@
     kernel::Callback<kernel::Done> callback;
 
     void stands() { callback(kernel::Done{}); }
-    void fails() { callback(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, "test" }); }
+    void fails(kernel::ResultCode code = kernel::ResultCode::UpstreamConnectFailed)
+    {
+        callback(kernel::Error{ code, "test" });
+    }
 };
 
 /// Collects what the flow sends.
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "forwarding/tests/fakes.h"
@@ -300,6 +302,67 @@
         << "the store's word goes before what this router finds out";
 }
 
+// Seen when a data centre was cut off: requests waited out their patience at one engine after the
+// other, though a connection would have shown at once that nobody is there.
+TEST(ForwarderTest, ASilentUpstreamThatCantBeReachedIsLeftAtOnce)
+{
+    Site site;
+    const auto caller = site.ask("/chat/x");
+    const auto stream = site.http.sends.back();
+    stream->connect();
+    site.clock.advance(250ms);
+    EXPECT_TRUE(site.http.connects.empty());
+    site.clock.advance(200ms);
+    ASSERT_EQ(site.http.connects.size(), 1U);
+    EXPECT_FALSE(stream->cancelled);
+    site.http.connects[0].fails(kernel::ResultCode::UpstreamTimeout);
+    EXPECT_TRUE(stream->cancelled);
+    ASSERT_EQ(site.http.sends.size(), 2U);
+
+    // The second one that is silent makes all of the data centre suspect, and those that can be
+    // reached stay.
+    site.http.last().connect();
+    site.clock.advance(450ms);
+    const std::size_t tried = site.http.connects.size();
+    for (std::size_t i = 1; i < tried; ++i)
+        site.http.connects[i].fails(kernel::ResultCode::UpstreamTimeout);
+    site.clock.advance(100ms);
+    ASSERT_EQ(site.http.connects.size(), tried + 4) << "the others";
+    for (std::size_t i = tried; i < tried + 4; ++i)
+        site.http.connects[i].stands();
+    const auto &records = site.forwarder.state().records;
+    EXPECT_EQ(
+        std::ranges::count_if(records, [](const auto &item) { return item.second.unreachable; }),
+        2);
+}
+
+TEST(ForwarderTest, ASilentUpstreamThatCanBeReachedIsWaitedFor)
+{
+    Site site;
+    site.ask("/chat/x");
+    const auto stream = site.http.sends.back();
+    stream->connect();
+    site.clock.advance(450ms);
+    ASSERT_EQ(site.http.connects.size(), 1U);
+    site.http.connects[0].stands();
+    EXPECT_FALSE(stream->cancelled);
+    EXPECT_FALSE(site.forwarder.state().records.at(kernel::UpstreamId("e1")).unreachable);
+}
+
+// A request that may not run twice gains nothing by a cut connection.
+TEST(ForwarderTest, AnUnsafeRequestStaysWhereItIs)
+{
+    Site site;
+    site.ask("/unsafe/x");
+    const auto sent = site.http.sends.back();
+    sent->connect();
+    site.clock.advance(1s);
+    for (Connect &connect : site.http.connects)
+        connect.fails(kernel::ResultCode::UpstreamTimeout);
+    EXPECT_FALSE(sent->cancelled);
+    EXPECT_EQ(site.http.sends.size(), 1U);
+}
+
 TEST(ForwarderTest, AConnectionThatWillNotComeIsKnownSoon)
 {
     Site site;
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -87,7 +87,7 @@
     std::unique_ptr<Exchange> send(const ClientRequest &request, ClientHandlers handlers);
 
     /// Opens a connection without a request and keeps it for the next one; destroying the result
-    /// cancels it. Errors: UpstreamConnectFailed.
+    /// cancels it. Errors: UpstreamTimeout (nobody answers), UpstreamConnectFailed.
     std::unique_ptr<Exchange> connect(const kernel::Endpoint &endpoint, kernel::Duration timeout,
                                       kernel::Callback<kernel::Done> callback);
 
--- a/src/framework/http/internal/connectprobe.cpp
+++ b/src/framework/http/internal/connectprobe.cpp
@@ -40,7 +40,9 @@
     m_socket.reset(socket);
     m_socket->data = this;
     setConnectionTimeouts(h2o_socket_get_fd(socket));
-    m_timer = kernel::Timer(m_scheduler, timeout, [this] { fail("no connection"); });
+    m_timer = kernel::Timer(m_scheduler, timeout, [this] {
+        fail(kernel::ResultCode::UpstreamTimeout, "no connection within the time-out");
+    });
 }
 
 void ConnectProbe::onConnect(h2o_socket_t *socket, const char *error)
@@ -49,7 +51,7 @@
     if (probe == nullptr)
         return;
     if (error != nullptr) {
-        probe->fail(error);
+        probe->fail(kernel::ResultCode::UpstreamConnectFailed, error);
         return;
     }
     probe->m_timer.cancel();
@@ -60,18 +62,19 @@
 }
 
 // The callback may destroy the probe.
-void ConnectProbe::fail(std::string_view why)
+void ConnectProbe::fail(kernel::ResultCode code, std::string_view why)
 {
     m_timer.cancel();
     m_socket.reset();
     const auto callback = std::move(m_callback);
-    callback(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, std::string(why) });
+    callback(kernel::Error{ code, std::string(why) });
 }
 
 void ConnectProbe::failLater(std::string why)
 {
-    m_timer = kernel::Timer(m_scheduler, kernel::Duration::zero(),
-                            [this, why = std::move(why)] { fail(why); });
+    m_timer = kernel::Timer(m_scheduler, kernel::Duration::zero(), [this, why = std::move(why)] {
+        fail(kernel::ResultCode::UpstreamConnectFailed, why);
+    });
 }
 
 } // namespace acaciasail::http
--- a/src/framework/http/internal/connectprobe.h
+++ b/src/framework/http/internal/connectprobe.h
@@ -21,7 +21,7 @@
 
 private:
     static void onConnect(h2o_socket_t *socket, const char *error);
-    void fail(std::string_view why);
+    void fail(kernel::ResultCode code, std::string_view why);
     void failLater(std::string why);
 
     const kernel::Scheduler &m_scheduler;
