Engines are asked for their load before heavy requests while busy; what is missing among standing registrations is gone

Change: while a service's requests are late, a request of at least usual work, or one asked again of the largest model, asks the engine of its choice for its report and then up to two more until one has no more to do than is usual; an engine that does not answer within the connect time-out is passed over. If three quarters of the known registrations stand when the store is back, none has lapsed and the missing ones go at once.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -4,6 +4,7 @@
 
 #include <sys/stat.h>
 
+#include "platform/enginereport.h"
 #include "platform/requestwire.h"
 
 namespace acaciasail::router {
@@ -57,6 +58,7 @@
                            kernel::Callback<kernel::Done> callback) {
         return m_client.connect(endpoint, timeout, std::move(callback));
     };
+    ports.readLoad = platform::engineLoadReader(sender());
     ports.wire = platform::upstreamWire();
     ports.writeRollout
         = [this](const forwarding::Rollout &rollout, const forwarding::RolloutStep &step) {
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -10,6 +10,7 @@
 #include "forwarding/internal/attemptstate.h"
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
+#include "forwarding/internal/engineload.h"
 #include "forwarding/internal/eventsplitter.h"
 #include "forwarding/internal/forwarder.h"
 #include "forwarding/internal/job.h"
--- a/src/forwarding/internal/directory.cpp
+++ b/src/forwarding/internal/directory.cpp
@@ -1,9 +1,34 @@
 #include "forwarding/internal/directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace acaciasail::forwarding {
 
+namespace {
+
+// Part of the known registrations that a list must show for none to have lapsed.
+constexpr double mostlyStandingPart = 0.75;
+
+// Registrations lapse together while the store is away. If nearly all stand, none has lapsed: then
+// it was this daemon that was away, and what is missing is gone.
+void endGraceUnlessLapsed(Directory &directory, const std::set<kernel::UpstreamId> &listed,
+                          kernel::Instant now)
+{
+    const auto standing = std::ranges::count_if(
+        directory.upstreams, [&](const auto &item) { return listed.contains(item.first); });
+    if (static_cast<double>(standing)
+        < mostlyStandingPart * static_cast<double>(directory.upstreams.size()))
+        return;
+    directory.storeBackSince = now - registrationGrace;
+    for (auto &[id, known] : directory.upstreams) {
+        if (known.missingUntil)
+            known.missingUntil = now;
+    }
+}
+
+} // namespace
+
 std::string_view toString(DirectoryChange change)
 {
     switch (change) {
@@ -66,10 +91,11 @@
                       kernel::Instant now)
 {
     std::set<kernel::UpstreamId> listed;
-    for (const Upstream &upstream : upstreams) {
+    for (const Upstream &upstream : upstreams)
         listed.insert(upstream.id);
+    endGraceUnlessLapsed(directory, listed, now);
+    for (const Upstream &upstream : upstreams)
         putUpstream(directory, upstream);
-    }
     std::vector<kernel::UpstreamId> gone;
     for (const auto &[id, known] : directory.upstreams) {
         if (!listed.contains(id))
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -52,6 +52,7 @@
                .options = std::move(options),
                .wire = std::move(ports.wire),
                .send = std::move(ports.send),
+               .readLoad = std::move(ports.readLoad),
                .random = random }
     , m_connect(std::move(ports.connect))
     , m_writeRollout(std::move(ports.writeRollout))
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -24,6 +24,8 @@
 {
     HttpSender send;
     Connector connect;
+    /// May be empty: engines are then chosen without their reports.
+    LoadReader readLoad;
     UpstreamWire wire;
     RolloutWriter writeRollout;
     /// A configuration came into force.
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -35,6 +35,12 @@
 // Silence after which it is checked whether the upstream can be reached, and again.
 constexpr kernel::Duration reachCheckAfter = std::chrono::milliseconds(300);
 constexpr kernel::Duration reachCheckInterval = std::chrono::seconds(1);
+// Engines that are asked for their load before one is chosen.
+constexpr std::size_t enginesAsked = 3;
+// Among fewer upstreams a daemon's own requests show well enough which ones are busy.
+constexpr std::size_t minEnginesToAsk = 24;
+// While engines are calm none is asked: questions are paid for too.
+constexpr double busyToAsk = 0.2;
 constexpr double failureShareDecay = 0.02;
 // Unless more is known, a caller may come back after this time, spread so that they don't return
 // together.
@@ -120,17 +126,79 @@
     query.exclude = &m_tried;
     query.now = now();
     const auto candidates = reachableCandidates(m_state, m_plan.service, version);
-    UpstreamChoice choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
-    if (choice.upstream == nullptr && !m_tried.empty()) {
+    const std::size_t most = asksLoads(candidates.size()) ? enginesAsked : 1;
+    auto choices = chooseUpstreams(candidates, m_state.records, query, most, m_state.random);
+    if (choices.empty() && !m_tried.empty()) {
         // All had it; one that refused or broke may take it now.
         query.exclude = nullptr;
-        choice = chooseUpstream(candidates, m_state.records, query, m_state.random);
+        choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
     }
-    if (choice.upstream == nullptr) {
+    if (choices.empty())
         endWithout(EndReason::NoCapacity, "no_upstream");
-        return;
+    else if (choices.size() == 1)
+        begin(choices.front());
+    else
+        askLoads(std::move(choices));
+}
+
+bool Job::asksLoads(std::size_t candidates) const
+{
+    if (!m_request.work || !m_state.readLoad || candidates < minEnginesToAsk)
+        return false;
+    const auto punctuality = m_state.punctuality.find(m_plan.service);
+    if (punctuality == m_state.punctuality.end() || busyness(punctuality->second) < busyToAsk)
+        return false;
+    return m_escalated || expectedWork(*m_request.work) >= m_plan.usualWork;
+}
+
+void Job::askLoads(const std::vector<UpstreamChoice> &choices)
+{
+    m_questions.clear();
+    m_asked = 0;
+    for (const UpstreamChoice &choice : choices)
+        m_questions.push_back({ *choice.upstream, choice.reason, std::nullopt });
+    askNext();
+}
+
+void Job::askNext()
+{
+    m_question = m_state.readLoad(
+        m_questions[m_asked].upstream.endpoint, connectTimeout(m_state),
+        [this](const kernel::Completion<EngineLoad> &outcome) { onLoad(outcome); });
+}
+
+void Job::onLoad(const kernel::Completion<EngineLoad> &outcome)
+{
+    const auto self = shared_from_this();
+    const auto ended = std::move(m_question);
+    LoadQuestion &question = m_questions[m_asked++];
+    bool roomy = false;
+    if (outcome.ok()) {
+        question.load = outcome.value();
+        UsualLoad &usual = m_state.usualLoads[m_plan.service];
+        roomy = isRoomy(usual, *question.load);
+        noteLoad(usual, *question.load);
+    } else {
+        m_state.toProbe.insert(question.upstream.id);
+    }
+    if (roomy || m_asked == m_questions.size())
+        beginAtLeastLoaded();
+    else
+        askNext();
+}
+
+void Job::beginAtLeastLoaded()
+{
+    std::vector<AskedEngine> engines;
+    engines.reserve(m_asked);
+    for (std::size_t i = 0; i < m_asked; ++i) {
+        engines.push_back(
+            { m_questions[i].load, m_state.records[m_questions[i].upstream.id].inFlight });
     }
-    begin(choice);
+    const std::vector<LoadQuestion> questions = std::exchange(m_questions, {});
+    const std::size_t chosen = chooseByLoad(engines);
+    const LoadQuestion &best = questions[chosen];
+    begin({ &best.upstream, chosen == 0 ? best.reason : ChoiceReason::ReportedLoad });
 }
 
 void Job::begin(const UpstreamChoice &choice)
@@ -618,6 +686,7 @@
         return;
     m_done = true;
     m_deadline.cancel();
+    m_question = nullptr;
     m_silence.cancel();
     m_reachCheck.cancel();
     m_review.cancel();
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -48,12 +48,27 @@
         bool firstByteSeen = false;
     };
 
+    // One engine that is asked for its load. Its registration may go meanwhile.
+    struct LoadQuestion
+    {
+        Upstream upstream;
+        ChoiceReason reason = ChoiceReason::None;
+        std::optional<EngineLoad> load;
+    };
+
     kernel::Instant now() const { return m_state.scheduler.now(); }
     kernel::Duration timeLeft() const;
     kernel::Duration silenceAllowed() const;
 
     VersionChoice versionForSession() const;
     void tryNext();
+    // Whether engines are asked for their load before one of so many is chosen.
+    bool asksLoads(std::size_t candidates) const;
+    // Asks one engine after the other until one is roomy, then begins at the best of them.
+    void askLoads(const std::vector<UpstreamChoice> &choices);
+    void askNext();
+    void onLoad(const kernel::Completion<EngineLoad> &outcome);
+    void beginAtLeastLoaded();
     void begin(const UpstreamChoice &choice);
     void onSent();
     void onHead(const http::ClientHead &clientHead);
@@ -99,6 +114,9 @@
     AttemptState m_attempts;
     std::set<kernel::UpstreamId> m_tried;
     std::optional<Attempt> m_attempt;
+    std::vector<LoadQuestion> m_questions;
+    std::size_t m_asked = 0;
+    std::unique_ptr<http::Exchange> m_question;
     std::unique_ptr<http::Exchange> m_exchange;
     EventSplitter m_splitter;
     std::optional<std::string> m_lastEventId;
--- a/src/forwarding/internal/lanes.cpp
+++ b/src/forwarding/internal/lanes.cpp
@@ -69,12 +69,26 @@
 
 void noteWork(LaneWork &recent, Lane lane, double work)
 {
-    recent.tight *= 1 - workDecay;
-    recent.patient *= 1 - workDecay;
-    if (lane == Lane::Tight)
+    for (double *part : { &recent.tight, &recent.patient, &recent.any, &recent.requests })
+        *part *= 1 - workDecay;
+    ++recent.requests;
+    switch (lane) {
+    case Lane::Tight:
         recent.tight += work;
-    if (lane == Lane::Patient)
+        break;
+    case Lane::Patient:
         recent.patient += work;
+        break;
+    case Lane::Any:
+        recent.any += work;
+        break;
+    }
+}
+
+double usualWork(const LaneWork &recent)
+{
+    const double work = recent.tight + recent.patient + recent.any;
+    return recent.requests > 0 ? work / recent.requests : 0;
 }
 
 double patientPart(const LaneWork &recent)
--- a/src/forwarding/internal/lanes.h
+++ b/src/forwarding/internal/lanes.h
@@ -33,10 +33,16 @@
 {
     double tight = 0;
     double patient = 0;
+    double any = 0;
+    /// The number of the requests, with the same decay.
+    double requests = 0;
 };
 
 void noteWork(LaneWork &recent, Lane lane, double work);
 
+/// Mean work of a request.
+double usualWork(const LaneWork &recent);
+
 /// Part of the upstreams that patient requests use, 0 to 1.
 double patientPart(const LaneWork &recent);
 
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -93,7 +93,9 @@
         return refusal;
     if (request.work) {
         plan.lane = laneOf(state.tightestObjectives, plan.service, plan.route);
-        noteWork(state.laneWork[plan.service], plan.lane, expectedWork(*request.work));
+        LaneWork &recent = state.laneWork[plan.service];
+        noteWork(recent, plan.lane, expectedWork(*request.work));
+        plan.usualWork = usualWork(recent);
     }
     plan.fingerprint = kernel::hash64(
         request.body, kernel::hash64(request.target, kernel::hash64(plan.workspace.str())));
--- a/src/forwarding/internal/requestplan.h
+++ b/src/forwarding/internal/requestplan.h
@@ -21,6 +21,8 @@
     std::string session;
     std::string firstModel;
     Lane lane = Lane::Any;
+    /// Mean work of the service's recent requests.
+    double usualWork = 0;
     RequestFingerprint fingerprint = 0;
 };
 
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -7,6 +7,7 @@
 
 #include "forwarding/internal/crashlist.h"
 #include "forwarding/internal/directory.h"
+#include "forwarding/internal/engineload.h"
 #include "forwarding/internal/lanes.h"
 #include "forwarding/internal/modelchoice.h"
 #include "forwarding/internal/patience.h"
@@ -61,6 +62,8 @@
     ForwardingOptions options;
     UpstreamWire wire;
     HttpSender send;
+    /// Empty where engines aren't asked for their load.
+    LoadReader readLoad;
     kernel::Random random;
     /// When the process ends at the latest, once it has begun to stop taking requests.
     std::optional<kernel::Instant> endsAt;
@@ -78,6 +81,7 @@
     /// Follows from the configuration in force.
     TightestObjectives tightestObjectives;
     std::map<kernel::ServiceName, LaneWork> laneWork;
+    std::map<kernel::ServiceName, UsualLoad> usualLoads;
     UsualTimes usual;
     std::map<kernel::ServiceName, Punctuality> punctuality;
     std::map<kernel::ServiceName, RetryBudget> budgets;
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -114,6 +114,8 @@
         return "affinity";
     case ChoiceReason::LeastLoaded:
         return "least_loaded";
+    case ChoiceReason::ReportedLoad:
+        return "reported_load";
     case ChoiceReason::Near:
         return "near";
     case ChoiceReason::AvoidedIgnored:
@@ -150,6 +152,27 @@
     return chooseNear(open, records, query, random);
 }
 
+std::vector<UpstreamChoice> chooseUpstreams(const std::vector<const Upstream *> &candidates,
+                                            const UpstreamRecords &records, UpstreamQuery query,
+                                            std::size_t most, kernel::Random &random)
+{
+    std::set<kernel::UpstreamId> taken;
+    if (query.exclude != nullptr)
+        taken = *query.exclude;
+    query.exclude = &taken;
+    std::vector<UpstreamChoice> choices;
+    while (choices.size() < most) {
+        const UpstreamChoice choice = chooseUpstream(candidates, records, query, random);
+        // A choice that is only the last resort is none beside a good one.
+        if (choice.upstream == nullptr
+            || (!choices.empty() && choice.reason == ChoiceReason::AvoidedIgnored))
+            break;
+        choices.push_back(choice);
+        taken.insert(choice.upstream->id);
+    }
+    return choices;
+}
+
 void noteBegin(UpstreamRecord &record, double work)
 {
     ++record.inFlight;
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -57,6 +57,8 @@
     Affinity,
     /// The first in the key's order carry too much.
     LeastLoaded,
+    /// Has less to do than the first in the key's order, by its own report.
+    ReportedLoad,
     /// Same data centre, with room.
     Near,
     /// All others are avoided.
@@ -77,6 +79,11 @@
                               const UpstreamRecords &records, const UpstreamQuery &query,
                               kernel::Random &random);
 
+/// Chooses up to `most` different ones, the best first.
+std::vector<UpstreamChoice> chooseUpstreams(const std::vector<const Upstream *> &candidates,
+                                            const UpstreamRecords &records, UpstreamQuery query,
+                                            std::size_t most, kernel::Random &random);
+
 /// A request went to the upstream.
 void noteBegin(UpstreamRecord &record, double work);
 
--- a/src/forwarding/tests/directory_tests.cpp
+++ b/src/forwarding/tests/directory_tests.cpp
@@ -101,6 +101,30 @@
     EXPECT_TRUE(directory.upstreams.contains(kernel::UpstreamId("b")));
 }
 
+// Seen on a router that was cut off from a store which others reached: an upstream that had left
+// meanwhile got requests for another two seconds.
+TEST(DirectoryTest, WhatIsMissingAmongStandingRegistrationsIsGone)
+{
+    Directory directory;
+    for (const char *id : { "a", "b", "c", "d" })
+        putUpstream(directory, upstream(id));
+    noteStoreAway(directory);
+    removeUpstream(directory, kernel::UpstreamId("b"), at(20s));
+    noteStoreBack(directory, at(30s));
+    replaceUpstreams(directory, { upstream("a"), upstream("c"), upstream("d") }, at(30s));
+    expireMissing(directory, at(30s));
+    EXPECT_FALSE(directory.upstreams.contains(kernel::UpstreamId("b")));
+
+    // Half of them missing is another matter: they may still come back.
+    noteStoreAway(directory);
+    noteStoreBack(directory, at(40s));
+    replaceUpstreams(directory, { upstream("a") }, at(40s));
+    expireMissing(directory, at(41s));
+    EXPECT_EQ(directory.upstreams.size(), 3U);
+    expireMissing(directory, at(43s));
+    EXPECT_EQ(directory.upstreams.size(), 1U);
+}
+
 TEST(DirectoryTest, OneThatSaidThatItLeavesHasLeft)
 {
     Directory directory;
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -52,7 +52,7 @@
 {
     kernel::ManualScheduler clock;
     FakeHttp http;
-    Forwarder forwarder(clock.scheduler(), { http.sender(), {}, plainWire(), {}, {} }, {},
+    Forwarder forwarder(clock.scheduler(), { .send = http.sender(), .wire = plainWire() }, {},
                         kernel::Random(1));
     auto caller = std::make_shared<FakeResponder>();
     Request request;
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -63,6 +63,7 @@
         , m_handlers(std::move(handlers))
         , m_connectTimeout(request.connectTimeout)
         , m_idleTimeout(request.idleTimeout)
+        , m_totalTimeout(request.totalTimeout)
         , m_maxIdle(request.maxIdle)
         , m_echoedHeader(request.echoedHeader)
         , m_bytes(formatHead(request) + request.body)
@@ -108,6 +109,7 @@
     {
         m_ended = true;
         m_timer.cancel();
+        m_totalTimer.cancel();
         letGo();
     }
 
@@ -143,6 +145,8 @@
         m_sent = true;
         m_lastActivity = scheduler().now();
         startIdleTimer(m_idleTimeout);
+        if (m_totalTimeout > kernel::Duration::zero())
+            m_totalTimer = kernel::Timer(scheduler(), m_totalTimeout, [this] { onTimeOut(); });
         m_inCallback = true;
         if (m_handlers.onSent)
             m_handlers.onSent();
@@ -293,6 +297,11 @@
             startIdleTimer(m_idleTimeout - silence);
             return;
         }
+        onTimeOut();
+    }
+
+    void onTimeOut()
+    {
         const auto self = shared_from_this();
         end({ kernel::Error{ kernel::ResultCode::UpstreamTimeout,
                              "no answer within the time-out" } });
@@ -329,6 +338,7 @@
         const auto self = shared_from_this();
         m_ended = true;
         m_timer.cancel();
+        m_totalTimer.cancel();
         const auto onEnd = std::move(m_handlers.onEnd);
         letGo();
         if (onEnd)
@@ -341,6 +351,7 @@
     ClientHandlers m_handlers;
     kernel::Duration m_connectTimeout;
     kernel::Duration m_idleTimeout;
+    kernel::Duration m_totalTimeout;
     kernel::Duration m_maxIdle;
     // Kept connections of upstreams that state no idle time are dropped after this.
     kernel::Duration m_keepFor = std::chrono::seconds(5);
@@ -350,6 +361,7 @@
     AnswerParser m_parser;
     SocketPtr m_socket;
     kernel::Timer m_timer;
+    kernel::Timer m_totalTimer;
     kernel::Instant m_lastActivity{};
     bool m_sent = false;
     bool m_writing = false;
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -27,6 +27,8 @@
     kernel::Duration connectTimeout = std::chrono::seconds(2);
     /// Longest silence before the head and between pieces of the body.
     kernel::Duration idleTimeout = std::chrono::seconds(30);
+    /// Longest time from the send to the answer's end, also while bytes come; zero for no limit.
+    kernel::Duration totalTimeout{};
     /// A kept connection is used only when it was idle for less than this; zero opens a new one.
     kernel::Duration maxIdle = std::chrono::seconds(5);
     /// Only an upstream that echoes this header may answer: its value must be the request's.
