--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -16,8 +16,6 @@
 
 // The answer leaves this much before the time is over.
 constexpr kernel::Duration answerMargin = std::chrono::milliseconds(10);
-// An attempt with less time than this is not worth its send.
-constexpr kernel::Duration minAttemptTime = std::chrono::milliseconds(20);
 // Answers that are not streams are held until they are whole, up to this size.
 constexpr std::size_t maxHeldBody = 256U << 10U;
 // Bytes that a slow caller may leave unread before reading from the upstream stops.
@@ -28,19 +26,8 @@
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
 // Longest part of the time left that a connect may take.
 constexpr int connectPart = 3;
-// While a roll-out is under way, answers in progress are looked at this often.
-constexpr kernel::Duration reviewInterval = std::chrono::milliseconds(250);
 // Upstreams that a request tries in vain to reach before it is refused.
 constexpr int maxUnreached = 4;
-// Silence after which it is checked whether the upstream can be reached, and again.
-constexpr kernel::Duration reachCheckAfter = std::chrono::milliseconds(300);
-constexpr kernel::Duration reachCheckInterval = std::chrono::seconds(1);
-// Engines that are asked for their load before one is chosen.
-constexpr std::size_t enginesAsked = 3;
-// Among fewer upstreams a daemon's own requests show well enough which ones are busy.
-constexpr std::size_t minEnginesToAsk = 24;
-// While engines are calm none is asked: questions are paid for too.
-constexpr double busyToAsk = 0.2;
 constexpr double failureShareDecay = 0.02;
 // Unless more is known, a caller may come back after this time, spread so that they don't return
 // together.
@@ -126,8 +113,8 @@
     query.exclude = &m_tried;
     query.now = now();
     const auto candidates = reachableCandidates(m_state, m_plan.service, version);
-    const std::size_t most = asksLoads(candidates.size()) ? enginesAsked : 1;
-    auto choices = chooseUpstreams(candidates, m_state.records, query, most, m_state.random);
+    auto choices = chooseUpstreams(candidates, m_state.records, query,
+                                   enginesToAsk(candidates.size()), m_state.random);
     if (choices.empty() && !m_tried.empty()) {
         // All had it; one that refused or broke may take it now.
         query.exclude = nullptr;
@@ -138,67 +125,7 @@
     else if (choices.size() == 1)
         begin(choices.front());
     else
-        askLoads(std::move(choices));
-}
-
-bool Job::asksLoads(std::size_t candidates) const
-{
-    if (!m_request.work || !m_state.readLoad || candidates < minEnginesToAsk)
-        return false;
-    const auto punctuality = m_state.punctuality.find(m_plan.service);
-    if (punctuality == m_state.punctuality.end() || busyness(punctuality->second) < busyToAsk)
-        return false;
-    return m_escalated || expectedWork(*m_request.work) >= m_plan.usualWork;
-}
-
-void Job::askLoads(const std::vector<UpstreamChoice> &choices)
-{
-    m_questions.clear();
-    m_asked = 0;
-    for (const UpstreamChoice &choice : choices)
-        m_questions.push_back({ *choice.upstream, choice.reason, std::nullopt });
-    askNext();
-}
-
-void Job::askNext()
-{
-    m_question = m_state.readLoad(
-        m_questions[m_asked].upstream.endpoint, connectTimeout(m_state),
-        [this](const kernel::Completion<EngineLoad> &outcome) { onLoad(outcome); });
-}
-
-void Job::onLoad(const kernel::Completion<EngineLoad> &outcome)
-{
-    const auto self = shared_from_this();
-    const auto ended = std::move(m_question);
-    LoadQuestion &question = m_questions[m_asked++];
-    bool roomy = false;
-    if (outcome.ok()) {
-        question.load = outcome.value();
-        UsualLoad &usual = m_state.usualLoads[m_plan.service];
-        roomy = isRoomy(usual, *question.load);
-        noteLoad(usual, *question.load);
-    } else {
-        m_state.toProbe.insert(question.upstream.id);
-    }
-    if (roomy || m_asked == m_questions.size())
-        beginAtLeastLoaded();
-    else
-        askNext();
-}
-
-void Job::beginAtLeastLoaded()
-{
-    std::vector<AskedEngine> engines;
-    engines.reserve(m_asked);
-    for (std::size_t i = 0; i < m_asked; ++i) {
-        engines.push_back(
-            { m_questions[i].load, m_state.records[m_questions[i].upstream.id].inFlight });
-    }
-    const std::vector<LoadQuestion> questions = std::exchange(m_questions, {});
-    const std::size_t chosen = chooseByLoad(engines);
-    const LoadQuestion &best = questions[chosen];
-    begin({ &best.upstream, chosen == 0 ? best.reason : ChoiceReason::ReportedLoad });
+        askLoads(choices);
 }
 
 void Job::begin(const UpstreamChoice &choice)
@@ -259,23 +186,6 @@
     armReview();
 }
 
-void Job::review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant))
-{
-    const auto evidence = m_state.evidence.find(m_plan.service);
-    if (evidence != m_state.evidence.end())
-        step(m_attempt->review, evidence->second, now());
-}
-
-void Job::armReview()
-{
-    if (!m_state.evidence.contains(m_plan.service))
-        return;
-    m_review = kernel::Timer(m_state.scheduler, reviewInterval, [this] {
-        review(reviewProgress);
-        armReview();
-    });
-}
-
 void Job::onSent()
 {
     noteSent(m_attempts);
@@ -283,88 +193,8 @@
     m_repeatTaken = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
-    if (mayRepeat(m_attempts)) {
-        armSilence(silenceAllowed());
-        armReachCheck(reachCheckAfter);
-    }
-}
-
-kernel::Duration Job::silenceAllowed() const
-{
-    return allowedSilence(m_state.usual, m_plan.route, m_attempt->model, m_attempt->firstByteSeen,
-                          timeLeft());
-}
-
-void Job::armSilence(kernel::Duration delay)
-{
-    m_silence = kernel::Timer(m_state.scheduler, delay, [this] { onSilence(); });
-}
-
-void Job::onSilence()
-{
-    const auto self = shared_from_this();
-    if (!m_attempt)
-        return;
-    const kernel::Duration silent = now() - m_attempt->lastActivity;
-    const kernel::Duration allowed = silenceAllowed();
-    if (silent < allowed) {
-        armSilence(allowed - silent);
-        return;
-    }
-    if (!mayRepeat(m_attempts) || timeLeft() < minAttemptTime)
-        return;
-    noteSilence(silent);
-    moveOn("silent");
-}
-
-// Waiting on is better than ending a request that can't go elsewhere.
-void Job::moveOn(std::string_view why)
-{
-    if (!takeRepeat(m_state.budgets[m_plan.service], m_state.options.retries, now())) {
-        armSilence(silenceAllowed());
-        return;
-    }
-    m_repeatTaken = true;
-    // A version that is far too slow shows it by answers that nobody waits for.
-    review(reviewFailure);
-    failAttempt(AttemptFailure::Silent, why);
-}
-
-void Job::armReachCheck(kernel::Duration delay)
-{
-    m_reachCheck = kernel::Timer(m_state.scheduler, delay, [this] { onReachCheck(); });
-}
-
-// Whether an upstream is slow or can't be reached shows long before its silence is unusual.
-void Job::onReachCheck()
-{
-    if (!m_attempt || !m_exchange)
-        return;
-    const kernel::Duration silent = now() - m_attempt->lastActivity;
-    if (silent < reachCheckAfter) {
-        armReachCheck(reachCheckAfter - silent);
-        return;
-    }
-    m_state.toProbe.insert(m_attempt->upstream);
-    armReachCheck(reachCheckInterval);
-}
-
-void Job::onUnreachable(const kernel::UpstreamId &upstream)
-{
-    const auto self = shared_from_this();
-    const bool waits = m_attempt && m_exchange && m_attempt->sent && m_attempt->upstream == upstream
-                       && now() - m_attempt->lastActivity >= reachCheckAfter;
-    if (waits && mayRepeat(m_attempts) && timeLeft() >= minAttemptTime)
-        moveOn("unreachable");
-}
-
-// A silence that was ended counts as the time it lasted at least; otherwise the times of a busy
-// service would look like those of a calm one.
-void Job::noteSilence(kernel::Duration silent)
-{
-    UsualTimes &usual = m_state.usual;
-    auto &times = m_attempt->firstByteSeen ? usual.betweenEvents : usual.firstByte;
-    noteTime(times[{ m_plan.route.name, m_attempt->model }], silent);
+    if (mayRepeat(m_attempts))
+        watchSilence();
 }
 
 void Job::onHead(const http::ClientHead &clientHead)
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -13,6 +13,9 @@
 
 namespace acaciasail::forwarding {
 
+/// An attempt with less time than this is not worth its send.
+constexpr kernel::Duration minAttemptTime = std::chrono::milliseconds(20);
+
 /// One request from its arrival to its answer's end.
 class Job : public std::enable_shared_from_this<Job>
 {
@@ -62,8 +65,8 @@
 
     VersionChoice versionForSession() const;
     void tryNext();
-    // Whether engines are asked for their load before one of so many is chosen.
-    bool asksLoads(std::size_t candidates) const;
+    // How many of the engines that come into question are asked for their load; 1 for none.
+    std::size_t enginesToAsk(std::size_t candidates) const;
     // Asks one engine after the other until one is roomy, then begins at the best of them.
     void askLoads(const std::vector<UpstreamChoice> &choices);
     void askNext();
@@ -93,6 +96,7 @@
     void armReachCheck(kernel::Duration delay);
     void onReachCheck();
     void noteSilence(kernel::Duration silent);
+    void watchSilence();
     void armSilence(kernel::Duration delay);
     void onDeadline();
     void onCallerGone();
