Requests in progress leave an unreachable upstream after two failed probes

A single connection that does not come may be a lost packet, and a machine that was only silent for a moment had its work begun again elsewhere. New work stays away from the first failed probe on; requests in progress leave at the second, or when a connection is refused.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -14,6 +14,8 @@
 constexpr kernel::Duration rolloutAskSpread = std::chrono::milliseconds(15);
 constexpr std::uint64_t rolloutAskers = 20;
 
+// Probes in a row that must fail before requests in progress leave an upstream.
+constexpr int failedProbesToLeave = 2;
 // So many upstreams of one data centre that are cut off within this time make all of it suspect.
 constexpr int cutOffsToSuspect = 2;
 constexpr kernel::Duration cutOffWindow = std::chrono::seconds(2);
@@ -274,16 +276,19 @@
     const auto known = m_state.directory.upstreams.find(id);
     if (known == m_state.directory.upstreams.end())
         return;
-    const kernel::Instant now = m_state.scheduler.now();
-    if (!noteCutOff(m_state.records[id], now))
+    UpstreamRecord &record = m_state.records[id];
+    if (noteCutOff(record, m_state.scheduler.now())) {
+        kernel::logEvent(kernel::EventId::UpstreamEjected,
+                         { { "upstream", id },
+                           { "service", known->second.entry.service },
+                           { "request", "" },
+                           { "ejections", record.ejections } });
+        if (code == kernel::ResultCode::UpstreamTimeout)
+            suspectDataCentre(known->second.entry.dataCentre);
+    }
+    // A connection that is refused says enough; one that does not come may be a lost packet.
+    if (code == kernel::ResultCode::UpstreamTimeout && record.failedProbes < failedProbesToLeave)
         return;
-    kernel::logEvent(kernel::EventId::UpstreamEjected,
-                     { { "upstream", id },
-                       { "service", known->second.entry.service },
-                       { "request", "" },
-                       { "ejections", m_state.records[id].ejections } });
-    if (code == kernel::ResultCode::UpstreamTimeout)
-        suspectDataCentre(known->second.entry.dataCentre);
     std::vector<std::shared_ptr<Job>> jobs;
     for (const auto &[key, job] : m_jobs)
         jobs.push_back(job);
