Roll-outs: a doubt holds up the last step

Change: while the doubts name more than one upstream of the target, neither the step to all sessions nor the completion is taken. A good version whose upstreams fail by themselves may so be late, which costs a duty.

--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -135,6 +135,15 @@
     return told == rollout.doubts.end() || told->upstreams.size() < doubt->upstreams.size();
 }
 
+// Whether more than one upstream of the target gave bad answers, by any daemon's word.
+bool isDoubtful(const std::vector<RolloutDoubt> &doubts)
+{
+    std::set<kernel::UpstreamId> upstreams;
+    for (const RolloutDoubt &doubt : doubts)
+        upstreams.insert(doubt.upstreams.begin(), doubt.upstreams.end());
+    return upstreams.size() > 1;
+}
+
 std::vector<RolloutDoubt> withDoubt(std::vector<RolloutDoubt> doubts,
                                     const std::optional<RolloutDoubt> &doubt)
 {
@@ -293,6 +302,9 @@
         return RolloutStep{ RolloutState::Completed, permille, rollout.doubts };
     int share = rollout.sharePermille;
     for (const Stage &stage : stages) {
+        // The last step can't be taken back, so a doubt holds it up.
+        if (stage.sharePermille >= permille && isDoubtful(rollout.doubts))
+            continue;
         if (part >= stage.fromPart)
             share = std::max(share, stage.sharePermille);
     }
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -245,6 +245,20 @@
     EXPECT_FALSE(condemnedTogether(rollout.doubts, 4)) << "two failing upstreams of four";
 }
 
+// Seen on a version that failed on one quiet route: one daemon's doubt did not condemn it, and it
+// was completed.
+TEST(RolloutPlan, ADoubtHoldsUpTheLastStep)
+{
+    Rollout rollout = running(250);
+    rollout.doubts.push_back({ vm, 2, { kernel::UpstreamId("new0") } });
+    const auto step = nextStep(rollout, {}, vm, 3, 3, at(kernel::scaled(wanted, 0.95)));
+    ASSERT_TRUE(step.has_value()) << "one upstream says nothing of the version";
+    EXPECT_EQ(step->sharePermille, 1000);
+    rollout.doubts[0].upstreams.emplace_back("new1");
+    EXPECT_FALSE(nextStep(rollout, {}, vm, 3, 3, at(kernel::scaled(wanted, 0.95))).has_value());
+    EXPECT_FALSE(nextStep(rollout, {}, vm, 3, 3, at(2 * wanted)).has_value());
+}
+
 TEST(RolloutPlan, ADaemonAloneCondemnsNobodyByItsDoubts)
 {
     RolloutDoubt liar{ vm, 1000, {} };
