--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -135,13 +135,13 @@
     return told == rollout.doubts.end() || told->upstreams.size() < doubt->upstreams.size();
 }
 
-// Whether more than one upstream of the target gave bad answers, by any daemon's word.
-bool isDoubtful(const std::vector<RolloutDoubt> &doubts)
+// The number of the target's upstreams that gave bad answers, by any daemon's word.
+std::size_t countDoubtful(const std::vector<RolloutDoubt> &doubts)
 {
     std::set<kernel::UpstreamId> upstreams;
     for (const RolloutDoubt &doubt : doubts)
         upstreams.insert(doubt.upstreams.begin(), doubt.upstreams.end());
-    return upstreams.size() > 1;
+    return upstreams.size();
 }
 
 std::vector<RolloutDoubt> withDoubt(std::vector<RolloutDoubt> doubts,
@@ -254,12 +254,9 @@
     if (doubts.size() < minDoubters)
         return false;
     int bad = 0;
-    std::set<kernel::UpstreamId> upstreams;
-    for (const RolloutDoubt &doubt : doubts) {
+    for (const RolloutDoubt &doubt : doubts)
         bad += doubt.badAnswers;
-        upstreams.insert(doubt.upstreams.begin(), doubt.upstreams.end());
-    }
-    return bad >= minBad && mostAreBad(upstreams.size(), upstreamsInUse);
+    return bad >= minBad && mostAreBad(countDoubtful(doubts), upstreamsInUse);
 }
 
 kernel::Duration plausibleAge(const Rollout &rollout, kernel::Duration age)
@@ -300,19 +297,20 @@
     const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
     if (full && part >= completePart && newUpstreams * 2 >= oldUpstreams)
         return RolloutStep{ RolloutState::Completed, permille, rollout.doubts };
+    const bool doubtful = countDoubtful(rollout.doubts) > 1;
     int share = rollout.sharePermille;
     for (const Stage &stage : stages) {
         // The last step can't be taken back, so a doubt holds it up.
-        if (stage.sharePermille >= permille && isDoubtful(rollout.doubts))
+        if (stage.sharePermille >= permille && doubtful)
             continue;
         if (part >= stage.fromPart)
             share = std::max(share, stage.sharePermille);
     }
-    const bool newDoubt = hasNewDoubt(rollout, doubtOf(evidence, vm));
-    if (rollout.state == RolloutState::Running && share == rollout.sharePermille && !newDoubt)
+    const auto doubt = doubtOf(evidence, vm);
+    if (rollout.state == RolloutState::Running && share == rollout.sharePermille
+        && !hasNewDoubt(rollout, doubt))
         return std::nullopt;
-    return RolloutStep{ RolloutState::Running, share,
-                        withDoubt(rollout.doubts, doubtOf(evidence, vm)) };
+    return RolloutStep{ RolloutState::Running, share, withDoubt(rollout.doubts, doubt) };
 }
 
 } // namespace acaciasail::forwarding
