--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -115,6 +115,7 @@
                        { "target", rollout.target },
                        { "state", toString(rollout.state) },
                        { "share_permille", rollout.sharePermille },
+                       { "doubters", rollout.doubts.size() },
                        { "revision", rollout.revision } });
     // A step that was asked for may have lost against this change.
     m_rolloutAskedAt.erase(rollout.service);
@@ -177,9 +178,9 @@
         evidence.since = now;
         evidence.shareSince = now;
         if (rollout.startedAt) {
-            // A daemon that joins late goes by the time of day, which may have jumped a little.
+            // A daemon that joins late goes by the time of day, which may have jumped.
             const kernel::Duration age = m_state.scheduler.wallNow() - *rollout.startedAt;
-            evidence.since -= std::clamp(age, kernel::Duration::zero(), rollout.wantedTime);
+            evidence.since -= plausibleAge(rollout, age);
         }
     }
     if (evidence.share != rollout.sharePermille) {
@@ -188,24 +189,27 @@
     }
     const bool open
         = rollout.state == RolloutState::Ordered || rollout.state == RolloutState::Running;
-    if (open && !evidence.condemned && isBad(evidence)) {
+    const bool alone = open && isBad(evidence);
+    if (open && !evidence.condemned && (alone || isCondemnedTogether(rollout))) {
         evidence.condemned = true;
         kernel::logEvent(kernel::EventId::RolloutHalted,
                          { { "service", rollout.service },
                            { "target", rollout.target },
+                           { "doubters", rollout.doubts.size() },
                            { "bad", evidence.newTotal.bad },
                            { "answers", evidence.newTotal.total() },
                            { "old_bad", evidence.oldTotal.bad },
                            { "old_answers", evidence.oldTotal.total() } });
     }
     const auto [newUpstreams, oldUpstreams] = countByVersion(m_state.directory, rollout);
-    const auto step = nextStep(rollout, evidence, newUpstreams, oldUpstreams, now);
+    const auto step
+        = nextStep(rollout, evidence, m_state.options.vm, newUpstreams, oldUpstreams, now);
     kernel::Instant &askAt = m_rolloutAskedAt[rollout.service];
     if (!step) {
         askAt = {};
         return;
     }
-    if (askAt == kernel::Instant{} && !evidence.condemned)
+    if (askAt == kernel::Instant{} && !alone)
         askAt = now + rolloutAskDelay(m_state.options.vm, rollout.service);
     if (now < askAt)
         return;
@@ -213,6 +217,12 @@
     m_writeRollout(rollout, *step);
 }
 
+bool Forwarder::isCondemnedTogether(const Rollout &rollout) const
+{
+    const auto used = candidatesOf(m_state.directory, rollout.service, VersionChoice::New);
+    return condemnedTogether(rollout.doubts, used.size());
+}
+
 // Drops the records of upstreams that are gone and idle.
 void Forwarder::forgetRecords()
 {
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -59,6 +59,7 @@
     void armTick();
     void reviewRollouts();
     void reviewRollout(Rollout &rollout);
+    bool isCondemnedTogether(const Rollout &rollout) const;
     void forgetRecords();
 
     ForwardingState m_state;
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -32,8 +32,15 @@
 // Canaries at least: some may fail by themselves, which says nothing of their version.
 constexpr std::size_t minCanaries = 4;
 
-// Bad answers before the target is judged at all.
+// Bad answers before the target is judged at all, and before others are told.
 constexpr int minBad = 4;
+constexpr int minBadToDoubt = 2;
+constexpr std::size_t minDoubters = 2;
+// Upstreams that a daemon names in its doubt.
+constexpr std::size_t maxDoubtfulUpstreams = 8;
+// Answers of each side that are judged, the latest: a version may turn bad at any moment.
+constexpr std::size_t newAnswersKept = 32;
+constexpr std::size_t oldAnswersKept = 256;
 constexpr double minBadShareExcess = 0.15;
 constexpr double badShareFactor = 2;
 // Part of the target's upstreams that must have given bad answers: one that fails by itself says
@@ -47,34 +54,69 @@
 // A stream that has lasted for less is not slow: a pause may be an engine's long prompt.
 constexpr double leastSlowStreamSeconds = 1;
 
+bool failsMoreOften(const VersionEvidence &target, const VersionEvidence &old)
+{
+    return target.badShare() >= old.badShare() * badShareFactor
+           && target.badShare() >= old.badShare() + minBadShareExcess;
+}
+
+bool mostAreBad(std::size_t badUpstreams, std::size_t upstreams)
+{
+    return static_cast<double>(badUpstreams)
+           >= std::ceil(minBadUpstreamPart * static_cast<double>(upstreams));
+}
+
 bool clearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
 {
-    if (target.bad < minBad)
-        return false;
-    if (target.badShare() < old.badShare() * badShareFactor
-        || target.badShare() < old.badShare() + minBadShareExcess)
-        return false;
-    const auto needed = static_cast<std::size_t>(
-        std::ceil(minBadUpstreamPart * static_cast<double>(target.upstreams.size())));
-    return target.badUpstreams.size() >= needed;
+    return target.bad >= minBad && failsMoreOften(target, old)
+           && mostAreBad(target.badUpstreams.size(), target.upstreams.size());
+}
+
+const VersionEvidence &oldOfKind(const RolloutEvidence &evidence, const AnswerKind &kind)
+{
+    static const VersionEvidence none;
+    const auto found = evidence.oldByKind.find(kind);
+    return found == evidence.oldByKind.end() ? none : found->second;
 }
 
-void count(VersionEvidence &evidence, const kernel::UpstreamId &upstream, bool bad)
+RolloutDoubt makeDoubt(const VersionEvidence &target, const kernel::VmId &vm)
+{
+    RolloutDoubt doubt{ vm, target.bad, {} };
+    for (const kernel::UpstreamId &id : target.badUpstreams) {
+        if (doubt.upstreams.size() < maxDoubtfulUpstreams)
+            doubt.upstreams.push_back(id);
+    }
+    return doubt;
+}
+
+void forgetOldest(VersionEvidence &evidence)
+{
+    --(evidence.answers.front() ? evidence.bad : evidence.good);
+    evidence.answers.pop_front();
+}
+
+void count(VersionEvidence &evidence, std::size_t kept, const kernel::UpstreamId &upstream,
+           bool bad)
 {
     evidence.upstreams.insert(upstream);
-    if (bad) {
-        ++evidence.bad;
+    if (bad)
         evidence.badUpstreams.insert(upstream);
-    } else {
-        ++evidence.good;
-    }
+    ++(bad ? evidence.bad : evidence.good);
+    evidence.answers.push_back(bad);
+    if (evidence.answers.size() > kept)
+        forgetOldest(evidence);
 }
 
+// The latest of the good answers turned out bad; which of them it was makes no difference.
 void recount(VersionEvidence &evidence, const kernel::UpstreamId &upstream)
 {
+    evidence.badUpstreams.insert(upstream);
+    const auto good = std::find(evidence.answers.rbegin(), evidence.answers.rend(), false);
+    if (good == evidence.answers.rend())
+        return;
+    *good = true;
     --evidence.good;
     ++evidence.bad;
-    evidence.badUpstreams.insert(upstream);
 }
 
 void noteUsual(std::map<AnswerKind, double> &usual, const AnswerKind &kind, kernel::Duration took)
@@ -84,6 +126,25 @@
     mean += usualDecay * (seconds - mean);
 }
 
+// Whether a doubt names more upstreams than the daemon has told of.
+bool hasNewDoubt(const Rollout &rollout, const std::optional<RolloutDoubt> &doubt)
+{
+    if (!doubt)
+        return false;
+    const auto told = std::ranges::find(rollout.doubts, doubt->vm, &RolloutDoubt::vm);
+    return told == rollout.doubts.end() || told->upstreams.size() < doubt->upstreams.size();
+}
+
+std::vector<RolloutDoubt> withDoubt(std::vector<RolloutDoubt> doubts,
+                                    const std::optional<RolloutDoubt> &doubt)
+{
+    if (doubt) {
+        std::erase_if(doubts, [&](const RolloutDoubt &told) { return told.vm == doubt->vm; });
+        doubts.push_back(*doubt);
+    }
+    return doubts;
+}
+
 } // namespace
 
 VersionChoice chooseVersion(const Rollout &rollout, std::string_view session)
@@ -112,8 +173,9 @@
         if (!onTarget)
             noteUsualTime(evidence, kind, *took);
     }
-    count(onTarget ? evidence.newTotal : evidence.oldTotal, upstream, bad);
-    count((onTarget ? evidence.newByKind : evidence.oldByKind)[kind], upstream, bad);
+    const std::size_t kept = onTarget ? newAnswersKept : oldAnswersKept;
+    count(onTarget ? evidence.newTotal : evidence.oldTotal, kept, upstream, bad);
+    count((onTarget ? evidence.newByKind : evidence.oldByKind)[kind], kept, upstream, bad);
     return bad;
 }
 
@@ -158,12 +220,53 @@
     if (clearlyWorse(evidence.newTotal, evidence.oldTotal))
         return true;
     return std::ranges::any_of(evidence.newByKind, [&](const auto &item) {
-        const auto old = evidence.oldByKind.find(item.first);
-        return clearlyWorse(item.second,
-                            old == evidence.oldByKind.end() ? VersionEvidence{} : old->second);
+        return clearlyWorse(item.second, oldOfKind(evidence, item.first));
     });
 }
 
+std::optional<RolloutDoubt> doubtOf(const RolloutEvidence &evidence, const kernel::VmId &vm)
+{
+    const VersionEvidence *worst = nullptr;
+    const auto consider = [&](const VersionEvidence &target, const VersionEvidence &old) {
+        if (target.bad >= minBadToDoubt && failsMoreOften(target, old)
+            && (worst == nullptr || target.bad > worst->bad))
+            worst = &target;
+    };
+    consider(evidence.newTotal, evidence.oldTotal);
+    for (const auto &[kind, target] : evidence.newByKind)
+        consider(target, oldOfKind(evidence, kind));
+    if (worst == nullptr)
+        return std::nullopt;
+    return makeDoubt(*worst, vm);
+}
+
+bool condemnedTogether(const std::vector<RolloutDoubt> &doubts, std::size_t upstreamsInUse)
+{
+    if (doubts.size() < minDoubters)
+        return false;
+    int bad = 0;
+    std::set<kernel::UpstreamId> upstreams;
+    for (const RolloutDoubt &doubt : doubts) {
+        bad += doubt.badAnswers;
+        upstreams.insert(doubt.upstreams.begin(), doubt.upstreams.end());
+    }
+    return bad >= minBad && mostAreBad(upstreams.size(), upstreamsInUse);
+}
+
+kernel::Duration plausibleAge(const Rollout &rollout, kernel::Duration age)
+{
+    double least = 0;
+    double most = 1;
+    for (const Stage &stage : stages) {
+        if (stage.sharePermille <= rollout.sharePermille)
+            least = stage.fromPart;
+        else
+            most = std::min(most, stage.fromPart);
+    }
+    return std::clamp(age, kernel::scaled(rollout.wantedTime, least),
+                      kernel::scaled(rollout.wantedTime, most));
+}
+
 std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille)
 {
     const auto part = static_cast<double>(sharePermille) / permille;
@@ -174,27 +277,30 @@
 }
 
 std::optional<RolloutStep> nextStep(const Rollout &rollout, const RolloutEvidence &evidence,
-                                    int newUpstreams, int oldUpstreams, kernel::Instant now)
+                                    const kernel::VmId &vm, int newUpstreams, int oldUpstreams,
+                                    kernel::Instant now)
 {
     if (rollout.state == RolloutState::Completed || rollout.state == RolloutState::RolledBack)
         return std::nullopt;
     if (evidence.condemned)
-        return RolloutStep{ RolloutState::RolledBack, 0 };
+        return RolloutStep{ RolloutState::RolledBack, 0, rollout.doubts };
     if (newUpstreams == 0)
         return std::nullopt;
     const double part = kernel::toSeconds(now - evidence.since)
                         / std::max(kernel::toSeconds(rollout.wantedTime), 1.0);
     const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
     if (full && part >= completePart && newUpstreams * 2 >= oldUpstreams)
-        return RolloutStep{ RolloutState::Completed, permille };
-    int share = 0;
+        return RolloutStep{ RolloutState::Completed, permille, rollout.doubts };
+    int share = rollout.sharePermille;
     for (const Stage &stage : stages) {
         if (part >= stage.fromPart)
-            share = stage.sharePermille;
+            share = std::max(share, stage.sharePermille);
     }
-    if (rollout.state == RolloutState::Running && share <= rollout.sharePermille)
+    const bool newDoubt = hasNewDoubt(rollout, doubtOf(evidence, vm));
+    if (rollout.state == RolloutState::Running && share == rollout.sharePermille && !newDoubt)
         return std::nullopt;
-    return RolloutStep{ RolloutState::Running, share };
+    return RolloutStep{ RolloutState::Running, share,
+                        withDoubt(rollout.doubts, doubtOf(evidence, vm)) };
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,11 +23,13 @@
 /// share alone, so all daemons agree, and a session moves once and never back.
 VersionChoice chooseVersion(const Rollout &rollout, std::string_view session);
 
-/// Answers of one side of a roll-out.
+/// The latest answers of one side of a roll-out.
 struct VersionEvidence
 {
     int good = 0;
     int bad = 0;
+    /// Whether each was bad, the oldest first.
+    std::deque<bool> answers;
     /// Upstreams that gave bad answers.
     std::set<kernel::UpstreamId> badUpstreams;
     std::set<kernel::UpstreamId> upstreams;
@@ -86,11 +89,21 @@
 /// Whether the target is worse than the old version beyond doubt.
 bool isBad(const RolloutEvidence &evidence);
 
+/// What this daemon holds against the target, if anything.
+std::optional<RolloutDoubt> doubtOf(const RolloutEvidence &evidence, const kernel::VmId &vm);
+
+/// Whether the doubts of several daemons condemn the target, of which so many upstreams are in use.
+bool condemnedTogether(const std::vector<RolloutDoubt> &doubts, std::size_t upstreamsInUse);
+
+/// The time since a roll-out began, as far as its share bears out what the time of day says.
+kernel::Duration plausibleAge(const Rollout &rollout, kernel::Duration age);
+
 /// What should be done to a roll-out's status now.
 struct RolloutStep
 {
     RolloutState state = RolloutState::Running;
     int sharePermille = 0;
+    std::vector<RolloutDoubt> doubts;
 
     friend bool operator==(const RolloutStep &, const RolloutStep &) = default;
 };
@@ -100,9 +113,10 @@
 /// stands in order of id, so all daemons choose the same.
 std::vector<const Upstream *> canaries(std::vector<const Upstream *> target, int sharePermille);
 
-/// The next step of a roll-out, if one is due. `newUpstreams` is the number of ready ones of the
-/// target, `oldUpstreams` that of the others.
+/// The next step of a roll-out, if one is due for the daemon on `vm`. `newUpstreams` is the number
+/// of ready ones of the target, `oldUpstreams` that of the others.
 std::optional<RolloutStep> nextStep(const Rollout &rollout, const RolloutEvidence &evidence,
-                                    int newUpstreams, int oldUpstreams, kernel::Instant now);
+                                    const kernel::VmId &vm, int newUpstreams, int oldUpstreams,
+                                    kernel::Instant now);
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -134,6 +134,17 @@
 
 std::string_view toString(RolloutState state);
 
+/// What one daemon holds against a roll-out's target, too little to condemn it alone.
+struct RolloutDoubt
+{
+    kernel::VmId vm;
+    int badAnswers = 0;
+    /// Upstreams of the target that gave them.
+    std::vector<kernel::UpstreamId> upstreams;
+
+    friend bool operator==(const RolloutDoubt &, const RolloutDoubt &) = default;
+};
+
 /// An operator's order to move a service to another version, with what the daemons made of it.
 struct Rollout
 {
@@ -146,6 +157,8 @@
     int sharePermille = 0;
     /// Time of day at which it began to run; none before.
     std::optional<kernel::WallTime> startedAt;
+    /// One entry a daemon at most.
+    std::vector<RolloutDoubt> doubts;
     kernel::Revision revision;
 };
 
--- a/tools/hunt.sh
+++ b/tools/hunt.sh
@@ -1,21 +1,24 @@
 #!/usr/bin/env bash
-# Plays the days of a site of the users' bench and prints one table: what broke, with the command that
-# plays it again, then the worst days.
-#   tools/hunt.sh SITE.toml [DAYS] [JOBS]
+# Plays the days of a site of the users' bench, and the project's own with fresh figures and seeds, and
+# prints one table: what broke, with the command that plays it again, then the worst days.
+#   tools/hunt.sh SITE.toml [DAYS] [JOBS] [SEEDS]
 # The bench is named by ACACIASAIL_BENCH, or found beside the users' pages.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 site=$1
 days=${2:-40}
 jobs=${3:-3}
-bench=${ACACIASAIL_BENCH:-../given/kit/more/system/bin/fleetbench}
+seeds=${4:-2}
+bench=${ACACIASAIL_BENCH:-$(ls ../given/kit/more/system/more/*/bin/fleetbench | tail -1)}
 out=$(mktemp)
 trap 'rm -f "$out"' EXIT
 
 "$bench" hunt "$site" --days "$days" --jobs "$jobs" --why "${WHY:-hunt}" >"$out" 2>&1 || true
 for day in deploy/days/*.toml; do
-    "$bench" run "$site" "$day" --jobs "$jobs" --why "${WHY:-hunt}: own day" >>"$out" 2>&1 || true
-done
+    for seed in $(shuf -i 1-1000000000 -n "$seeds"); do
+        echo "run $site $day --vary --seed $seed"
+    done
+done | xargs -P "$jobs" -L 1 "$bench" --why "${WHY:-hunt}: own day, varied" >>"$out" 2>&1 || true
 echo "== $(basename "$site"): $(grep -cE '^[a-z].* [0-9]+/[0-9]+ +[0-9.]+ ' "$out") days played"
 echo "-- broken, or not played:"
 grep -E 'BROKEN|FAULT|exits of its own|couldn.t|doesn.t fit|unknown' "$out" | cut -c1-230 || true
