Logs: a run at a crash names its request's fingerprint and the crashes so far

Cause: no line told how often a request was at a crash, nor which requests are the same, as each has a new id. Change: PoisonSuspected for each such run, the fingerprint in PoisonRefused, a const view of the metrics.

--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -63,6 +63,7 @@
     std::size_t inProgress() const { return m_jobs.size(); }
     const ForwardingState &state() const { return m_state; }
     metrics::Registry &metrics() { return m_state.metrics.registry; }
+    const metrics::Registry &metrics() const { return m_state.metrics.registry; }
 
 private:
     void tick();
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -441,7 +441,12 @@
         closeAttempt(RunOutcome::Silent);
         break;
     case AttemptFailure::Lost:
-        noteCrash(m_state.crashes, m_plan.fingerprint, m_attempt->upstream, now());
+        kernel::logEvent(kernel::EventId::PoisonSuspected,
+                         { { "request", m_request.id },
+                           { "fingerprint", std::to_string(m_plan.fingerprint) },
+                           { "upstream", m_attempt->upstream },
+                           { "crashes", noteCrash(m_state.crashes, m_plan.fingerprint,
+                                                  m_attempt->upstream, now()) } });
         closeAttempt(RunOutcome::Broken);
         break;
     case AttemptFailure::Garbled:
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -101,7 +101,9 @@
         request.body, kernel::hash64(request.target, kernel::hash64(plan.workspace.str())));
     if (crashesUpstreams(state.crashes, plan.fingerprint, request.arrived)) {
         kernel::logEvent(kernel::EventId::PoisonRefused,
-                         { { "request", request.id }, { "route", plan.route.name } });
+                         { { "request", request.id },
+                           { "route", plan.route.name },
+                           { "fingerprint", std::to_string(plan.fingerprint) } });
         return Refusal{ finalStatus({ .mayHaveRun = true }, EndReason::Failed),
                         "crashes_upstreams" };
     }
