Poison: the book of crashes stands in a library of its own; what is refused is forgotten last

Cause: the router counts crashes in a list of its own that can't be joined with another's, beside the book that the product's own interface joins over its daemons. And the book forgot the oldest evidence first: a few thousand innocent requests at crashes pushed out one that was refused (test: PoisonBook.ManySuspectsDoNotPushOutARefusedRequest, which failed with the order by age alone). Change: src/poison, used by src/upstreams as before; newestOf and merge of books; refused requests are kept first.

--- a/src/gateway/internal/chatflow.cpp
+++ b/src/gateway/internal/chatflow.cpp
@@ -50,8 +50,8 @@
     receiver.onGranted = [self] { self->chooseVersion(); };
     receiver.onAnswered = [self](const ledger::HeldAnswer &answer) { self->replay(answer); };
     receiver.onRefused = [self](const ApiError &error) { self->fail(error); };
-    const upstreams::Fingerprint fingerprint = upstreams::makeFingerprint(
-        m_identity.workspace.id, "/v1/chat/completions", m_request.body);
+    const poison::Fingerprint fingerprint
+        = poison::makeFingerprint(m_identity.workspace.id, "/v1/chat/completions", m_request.body);
     m_claim.ask(m_core, m_identity, m_request.id, m_request.idempotencyKey, fingerprint.str(),
                 std::move(receiver));
 }
@@ -176,8 +176,7 @@
                      { "x-request-kind", m_request.kind.str() } };
     spec.body = engineBody(m_request, version, m_rank);
     spec.stream = m_request.stream;
-    spec.fingerprint
-        = upstreams::makeFingerprint(m_identity.workspace.id, spec.path, m_request.body);
+    spec.fingerprint = poison::makeFingerprint(m_identity.workspace.id, spec.path, m_request.body);
     spec.chooseTarget = [this, version](const upstreams::AttemptContext &attempt) {
         return m_core.router->chooseTarget(m_facts, version, m_request.prefixes, attempt);
     };
--- a/src/gateway/internal/serviceflow.cpp
+++ b/src/gateway/internal/serviceflow.cpp
@@ -92,8 +92,8 @@
         fail(makeApiError(ledgerReady.error()));
         return;
     }
-    m_fingerprint = upstreams::makeFingerprint(m_identity.workspace.id,
-                                               pathWithQuery(m_call.request), m_call.request.body);
+    m_fingerprint = poison::makeFingerprint(m_identity.workspace.id, pathWithQuery(m_call.request),
+                                            m_call.request.body);
     if (m_call.nonIdempotent && !m_call.idempotencyKey.empty())
         askClaim();
     else
--- a/src/gateway/internal/serviceflow.h
+++ b/src/gateway/internal/serviceflow.h
@@ -58,7 +58,7 @@
     std::shared_ptr<http::Responder> m_responder;
     std::shared_ptr<ServiceFlow> m_self;
     kernel::Instant m_arrived;
-    upstreams::Fingerprint m_fingerprint;
+    poison::Fingerprint m_fingerprint;
     ClaimTicket m_claim;
     std::unique_ptr<upstreams::Job> m_job;
     http::ClientHead m_head;
--- a/src/upstreams/internal/poisonbook.cpp
+++ b/src/poison/internal/poisonbook.cpp
@@ -1,11 +1,12 @@
-#include "upstreams/internal/poisonbook.h"
+#include "poison/internal/poisonbook.h"
 
 #include <algorithm>
+#include <tuple>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
-namespace acaciasail::upstreams {
+namespace acaciasail::poison {
 
 namespace {
 
@@ -49,18 +50,40 @@
     return crashes;
 }
 
-std::vector<const std::pair<const Fingerprint, PoisonEvidence> *>
-newestFirst(const PoisonBook &book)
+// Crashes at which a request was seen and not cleared since.
+int strikesOf(const PoisonEvidence &evidence)
 {
-    std::vector<const std::pair<const Fingerprint, PoisonEvidence> *> entries;
-    entries.reserve(book.evidence.size());
-    for (const auto &entry : book.evidence)
-        entries.push_back(&entry);
-    std::ranges::sort(entries, [](const auto *a, const auto *b) {
-        const WallTime timeA = newest(a->second);
-        const WallTime timeB = newest(b->second);
-        return timeA != timeB ? timeA > timeB : a->first < b->first;
+    int count = 0;
+    for (const auto &[upstream, times] : evidence.sightings)
+        count += crashesAfter(times, evidence.completedAt);
+    return count;
+}
+
+using Entry = std::pair<const Fingerprint, PoisonEvidence>;
+
+// Requests that are refused come first: forgetting one costs upstreams.
+std::vector<const Entry *> mostImportantFirst(const PoisonBook &book)
+{
+    struct Rank
+    {
+        bool refused = false;
+        WallTime newest;
+        const Entry *entry = nullptr;
+    };
+    std::vector<Rank> ranks;
+    ranks.reserve(book.evidence.size());
+    for (const auto &entry : book.evidence) {
+        const bool refused = strikesOf(entry.second) >= poisonStrikes;
+        ranks.push_back({ refused, newest(entry.second), &entry });
+    }
+    std::ranges::sort(ranks, [](const Rank &a, const Rank &b) {
+        return std::tie(b.refused, b.newest, a.entry->first)
+               < std::tie(a.refused, a.newest, b.entry->first);
     });
+    std::vector<const Entry *> entries;
+    entries.reserve(ranks.size());
+    for (const Rank &rank : ranks)
+        entries.push_back(rank.entry);
     return entries;
 }
 
@@ -69,7 +92,7 @@
     if (book.evidence.size() <= book.capacity)
         return;
     std::vector<Fingerprint> surplus;
-    const auto entries = newestFirst(book);
+    const auto entries = mostImportantFirst(book);
     for (std::size_t i = book.capacity; i < entries.size(); ++i)
         surplus.push_back(entries[i]->first);
     for (const Fingerprint &fingerprint : surplus)
@@ -108,6 +131,19 @@
 
 } // namespace
 
+Fingerprint makeFingerprint(const kernel::WorkspaceId &workspace, std::string_view path,
+                            std::string_view body)
+{
+    std::string text = workspace.str();
+    text += '\n';
+    text += path;
+    text += '\n';
+    text += body;
+    constexpr std::uint64_t secondSeed = 0x9e3779b97f4a7c15ULL;
+    return Fingerprint(std::to_string(kernel::hash64(text)) + "-"
+                       + std::to_string(kernel::hash64(text, secondSeed)));
+}
+
 void noteCrash(PoisonBook &book, const Fingerprint &fingerprint, const kernel::UpstreamId &upstream,
                WallTime at)
 {
@@ -129,10 +165,7 @@
     const auto found = book.evidence.find(fingerprint);
     if (found == book.evidence.end())
         return 0;
-    int count = 0;
-    for (const auto &[upstream, times] : found->second.sightings)
-        count += crashesAfter(times, found->second.completedAt);
-    return count;
+    return strikesOf(found->second);
 }
 
 void expire(PoisonBook &book, WallTime now)
@@ -143,23 +176,32 @@
     limitSize(book);
 }
 
+PoisonBook newestOf(const PoisonBook &book, std::size_t maxRequests)
+{
+    PoisonBook result;
+    for (const Entry *entry : mostImportantFirst(book)) {
+        if (result.evidence.size() >= maxRequests)
+            break;
+        result.evidence.insert(*entry);
+    }
+    return result;
+}
+
 std::string encode(const PoisonBook &book, std::size_t maxRequests)
 {
     Json document = Json::object();
-    for (const auto *entry : newestFirst(book)) {
-        if (document.size() >= maxRequests)
-            break;
+    for (const auto &[fingerprint, found] : newestOf(book, maxRequests).evidence) {
         Json sightings = Json::object();
-        for (const auto &[upstream, times] : entry->second.sightings) {
+        for (const auto &[upstream, times] : found.sightings) {
             Json list = Json::array();
             for (const WallTime time : times)
                 list.push_back(toCount(time));
             sightings[upstream.str()] = std::move(list);
         }
         Json evidence = { { "s", std::move(sightings) } };
-        if (entry->second.completedAt)
-            evidence["c"] = toCount(*entry->second.completedAt);
-        document[entry->first.str()] = std::move(evidence);
+        if (found.completedAt)
+            evidence["c"] = toCount(*found.completedAt);
+        document[fingerprint.str()] = std::move(evidence);
     }
     std::string bytes;
     Json::to_cbor(document, bytes);
@@ -168,19 +210,24 @@
 
 kernel::Result<bool> merge(PoisonBook &book, std::string_view bytes)
 {
-    std::map<Fingerprint, PoisonEvidence> received;
+    PoisonBook received;
     try {
         const Json document = Json::from_cbor(bytes.begin(), bytes.end());
         for (const auto &[fingerprint, evidence] : document.items())
-            received[Fingerprint(fingerprint)] = evidenceFromJson(evidence);
+            received.evidence[Fingerprint(fingerprint)] = evidenceFromJson(evidence);
     } catch (const Json::exception &) {
         return kernel::fail(kernel::ResultCode::PeerProtocol, "poison evidence is malformed");
     }
+    return merge(book, received);
+}
+
+bool merge(PoisonBook &book, const PoisonBook &other)
+{
     bool changed = false;
-    for (const auto &[fingerprint, evidence] : received)
+    for (const auto &[fingerprint, evidence] : other.evidence)
         changed |= mergeEvidence(book.evidence[fingerprint], evidence);
     limitSize(book);
     return changed;
 }
 
-} // namespace acaciasail::upstreams
+} // namespace acaciasail::poison
--- a/src/upstreams/internal/poisonbook.h
+++ b/src/poison/internal/poisonbook.h
@@ -4,11 +4,19 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 
-#include "upstreams/internal/job.h"
+#include "kernel/kernel.h"
 
-namespace acaciasail::upstreams {
+namespace acaciasail::poison {
+
+/// Hash of what a request asks for, the same for each time that it is sent.
+using Fingerprint = kernel::Id<struct FingerprintTag>;
+
+/// The fingerprint of a request: workspace, path and body, without ids or times.
+Fingerprint makeFingerprint(const kernel::WorkspaceId &workspace, std::string_view path,
+                            std::string_view body);
 
 /// Crashes after which a request is refused.
 constexpr int poisonStrikes = 2;
@@ -32,7 +40,8 @@
 struct PoisonBook
 {
     std::unordered_map<Fingerprint, PoisonEvidence> evidence;
-    /// Requests tracked; the ones with the oldest evidence are forgotten first.
+    /// Requests tracked. Those that are not refused are forgotten first, the oldest evidence before
+    /// the newer.
     std::size_t capacity = 4096;
 };
 
@@ -49,10 +58,17 @@
 /// Forgets what is too old or too much.
 void expire(PoisonBook &book, kernel::WallTime now);
 
-/// The newest evidence as bytes (CBOR), at most that many requests.
+/// The evidence that counts most, of at most that many requests: requests that are refused go
+/// first, then the newest.
+PoisonBook newestOf(const PoisonBook &book, std::size_t maxRequests);
+
+/// The same as bytes (CBOR).
 std::string encode(const PoisonBook &book, std::size_t maxRequests);
 
+/// Joins evidence from another daemon; true if some was new.
+bool merge(PoisonBook &book, const PoisonBook &other);
+
 /// Joins evidence from another daemon; true if some was new. Errors: PeerProtocol.
 kernel::Result<bool> merge(PoisonBook &book, std::string_view bytes);
 
-} // namespace acaciasail::upstreams
+} // namespace acaciasail::poison
--- a/src/upstreams/tests/poison_tests.cpp
+++ b/src/poison/tests/poisonbook_tests.cpp
@@ -2,15 +2,15 @@
 
 #include <rapidcheck/gtest.h>
 
-#include "upstreams/upstreams.h"
+#include "poison/poison.h"
 
 using namespace acaciasail;
-using namespace acaciasail::upstreams;
+using namespace acaciasail::poison;
 using namespace std::chrono_literals;
 
 namespace {
 
-const Fingerprint poison("poison");
+const Fingerprint crasher("crasher");
 const Fingerprint innocent("innocent");
 
 kernel::WallTime at(kernel::Duration time)
@@ -35,12 +35,12 @@
 {
     PoisonBook a;
     PoisonBook b;
-    noteCrash(a, poison, upstream(1), at(100s));
-    noteCrash(b, poison, upstream(1), at(103s));
+    noteCrash(a, crasher, upstream(1), at(100s));
+    noteCrash(b, crasher, upstream(1), at(103s));
     mergeAll(a, b);
-    EXPECT_EQ(strikes(a, poison), 1);
-    noteCrash(a, poison, upstream(1), at(120s));
-    EXPECT_EQ(strikes(a, poison), 2);
+    EXPECT_EQ(strikes(a, crasher), 1);
+    noteCrash(a, crasher, upstream(1), at(120s));
+    EXPECT_EQ(strikes(a, crasher), 2);
 }
 
 TEST(PoisonBook, CompletionClearsWhatCameBefore)
@@ -59,15 +59,28 @@
 {
     PoisonBook book;
     book.capacity = 2;
-    noteCrash(book, poison, upstream(1), at(1h));
+    noteCrash(book, crasher, upstream(1), at(1h));
     noteCrash(book, innocent, upstream(1), at(2h));
     noteCrash(book, Fingerprint("third"), upstream(1), at(3h));
-    EXPECT_EQ(strikes(book, poison), 0);
+    EXPECT_EQ(strikes(book, crasher), 0);
     expire(book, at(26h + 30min));
     EXPECT_EQ(strikes(book, innocent), 0);
     EXPECT_EQ(strikes(book, Fingerprint("third")), 1);
 }
 
+TEST(PoisonBook, ManySuspectsDoNotPushOutARefusedRequest)
+{
+    PoisonBook book;
+    book.capacity = 3;
+    noteCrash(book, crasher, upstream(1), at(1s));
+    noteCrash(book, crasher, upstream(2), at(2s));
+    for (int i = 0; i < 20; ++i)
+        noteCrash(book, Fingerprint("suspect " + std::to_string(i)), upstream(3), at(10s));
+    EXPECT_EQ(book.evidence.size(), 3U);
+    EXPECT_EQ(strikes(book, crasher), 2);
+    EXPECT_TRUE(newestOf(book, 1).evidence.contains(crasher));
+}
+
 TEST(PoisonBook, RefusesMalformedEvidence)
 {
     PoisonBook book;
@@ -86,7 +99,7 @@
     for (int step : steps) {
         PoisonBook &book = books[static_cast<std::size_t>(step % 3)];
         step /= 3;
-        const Fingerprint &fingerprint = step % 2 == 0 ? poison : innocent;
+        const Fingerprint &fingerprint = step % 2 == 0 ? crasher : innocent;
         step /= 2;
         const int number = step % 3;
         step /= 3;
--- a/src/upstreams/internal/dispatcher.cpp
+++ b/src/upstreams/internal/dispatcher.cpp
@@ -154,7 +154,7 @@
 
 kernel::Result<void> Dispatcher::mergePoison(std::string_view bytes)
 {
-    PoisonBook &book = m_impl->context.poison;
+    poison::PoisonBook &book = m_impl->context.poison;
     auto changed = merge(book, bytes);
     if (!changed)
         return changed.error();
@@ -162,7 +162,7 @@
     return {};
 }
 
-const PoisonBook &Dispatcher::poisonBook() const
+const poison::PoisonBook &Dispatcher::poisonBook() const
 {
     return m_impl->context.poison;
 }
--- a/src/upstreams/internal/dispatcher.h
+++ b/src/upstreams/internal/dispatcher.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "http/http.h"
+#include "poison/poison.h"
 #include "upstreams/internal/job.h"
-#include "upstreams/internal/poisonbook.h"
 #include "upstreams/internal/retrypolicy.h"
 
 namespace acaciasail::upstreams {
@@ -71,7 +71,7 @@
     std::string encodePoison() const;
     /// Joins a peer's evidence. Errors: PeerProtocol.
     kernel::Result<void> mergePoison(std::string_view bytes);
-    const PoisonBook &poisonBook() const;
+    const poison::PoisonBook &poisonBook() const;
 
 private:
     struct Impl;
--- a/src/upstreams/internal/job.h
+++ b/src/upstreams/internal/job.h
@@ -8,17 +8,11 @@
 
 #include "http/http.h"
 #include "kernel/kernel.h"
+#include "poison/poison.h"
 #include "table/table.h"
 
 namespace acaciasail::upstreams {
 
-/// Hash of what a request asks for, the same for each time that it is sent.
-using Fingerprint = kernel::Id<struct FingerprintTag>;
-
-/// The fingerprint of a request: workspace, path and body, without ids or times.
-Fingerprint makeFingerprint(const kernel::WorkspaceId &workspace, std::string_view path,
-                            std::string_view body);
-
 /// An upstream chosen for an attempt.
 struct Target
 {
@@ -67,7 +61,7 @@
     std::string body;
     /// The completion is answered as server-sent events.
     bool stream = false;
-    Fingerprint fingerprint;
+    poison::Fingerprint fingerprint;
     TargetChooser chooseTarget;
 };
 
--- a/src/upstreams/internal/jobrun.cpp
+++ b/src/upstreams/internal/jobrun.cpp
@@ -20,7 +20,7 @@
 void JobRun::start()
 {
     earnRetries(m_context.budget);
-    if (strikes(m_context.poison, m_spec.fingerprint) >= poisonStrikes) {
+    if (strikes(m_context.poison, m_spec.fingerprint) >= poison::poisonStrikes) {
         kernel::logEvent(kernel::EventId::PoisonRefused,
                          { { "request", m_spec.request }, { "fingerprint", m_spec.fingerprint } });
         refuse({ ResultCode::PoisonRefused, "the request crashed the upstreams that ran it" });
--- a/src/upstreams/internal/jobrun.h
+++ b/src/upstreams/internal/jobrun.h
@@ -20,7 +20,7 @@
     DispatcherOptions options;
     DispatcherHooks hooks;
     RetryBudget budget;
-    PoisonBook poison;
+    poison::PoisonBook poison;
     InFlightTable inFlight;
     kernel::Random random;
     /// Finds out whether an upstream crashed: it takes no connection any more.
--- a/src/upstreams/internal/retrypolicy.cpp
+++ b/src/upstreams/internal/retrypolicy.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "upstreams/internal/poisonbook.h"
+#include "poison/poison.h"
 
 namespace acaciasail::upstreams {
 
@@ -21,7 +21,7 @@
 
 RetryDecision decideRetry(const FailedAttempt &failed, RetryBudget &budget)
 {
-    if (failed.strikes >= poisonStrikes)
+    if (failed.strikes >= poison::poisonStrikes)
         return { FollowUp::RefuseAsPoison, "crashed its upstreams" };
     if (failed.answerBegun)
         return { FollowUp::GiveUp, "answer begun" };
--- a/src/upstreams/tests/dispatcher_tests.cpp
+++ b/src/upstreams/tests/dispatcher_tests.cpp
@@ -23,7 +23,7 @@
         spec.deadline = m_clock.now() + 60s;
         spec.body = R"({"model":"v","stream":true})";
         spec.stream = true;
-        spec.fingerprint = makeFingerprint(kernel::WorkspaceId("w"), "/v1", prompt);
+        spec.fingerprint = poison::makeFingerprint(kernel::WorkspaceId("w"), "/v1", prompt);
         spec.chooseTarget = [this](const AttemptContext &context) { return choose(context); };
         return spec;
     }
@@ -269,7 +269,7 @@
     answerLast(0, 3);
     EXPECT_EQ(m_result.code, ResultCode::Ok);
     EXPECT_EQ(strikes(m_dispatcher.poisonBook(),
-                      makeFingerprint(kernel::WorkspaceId("w"), "/v1", "innocent")),
+                      poison::makeFingerprint(kernel::WorkspaceId("w"), "/v1", "innocent")),
               0);
 }
 
--- a/src/upstreams/tests/loopback_tests.cpp
+++ b/src/upstreams/tests/loopback_tests.cpp
@@ -87,7 +87,7 @@
     spec.deadline = loop.scheduler().now() + 30s;
     spec.body = "{}";
     spec.stream = true;
-    spec.fingerprint = Fingerprint("f");
+    spec.fingerprint = poison::Fingerprint("f");
     spec.chooseTarget = [&engine](const AttemptContext &context) -> kernel::Completion<Target> {
         return Target{ kernel::UpstreamId("u" + std::to_string(context.attempt)),
                        engine.endpoint() };
@@ -106,7 +106,7 @@
     EXPECT_EQ(result.code, ResultCode::Ok);
     EXPECT_EQ(next, tokens);
     EXPECT_EQ(engine.completions(), 2);
-    EXPECT_EQ(strikes(dispatcher.poisonBook(), Fingerprint("f")), 0) << "it was no crash";
+    EXPECT_EQ(strikes(dispatcher.poisonBook(), poison::Fingerprint("f")), 0) << "it was no crash";
 }
 
 TEST(Loopback, AnUpstreamThatIsGoneDidNotRunTheRequest)
--- a/src/upstreams/upstreams.h
+++ b/src/upstreams/upstreams.h
@@ -7,7 +7,6 @@
 #include "upstreams/internal/dispatcher.h"
 #include "upstreams/internal/engineevent.h"
 #include "upstreams/internal/job.h"
-#include "upstreams/internal/poisonbook.h"
 #include "upstreams/internal/retrypolicy.h"
 #include "upstreams/internal/sseparser.h"
 #include "upstreams/internal/streamassembler.h"
