Requests that crash upstreams are known to all routers, through restarts

What callers saw: a request under which three runners had ended was sent to up to 15 runners of five routers, and to as many again after restarts; its own callers lost nothing, those whose requests ran beside it did. Cause: each router counted crashes in its own memory. Class: evidence about the whole kept by each part alone, lost with its process. Besides, crashes were taken from resets alone: an upstream that went dark was none, and a reset by a living one was. Change: CrashEvidence in place of CrashList. A lost run is a crash if a connection finds the upstream gone, unless many went at once; crashes go to one object a VM in the store, which all routers watch and read when they start; three in all refuse the request, and end it where it waits. Why this works: the sum over routers is what the promise is about, and the store outlives each of them.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -38,8 +38,8 @@
     , m_settingsFile(std::move(settingsFile))
     , m_settingsStamp(stampOf(m_settingsFile))
     , m_client(m_loop)
-    , m_adapter(sender(), m_loop.scheduler(), m_settings.store, m_settings.leaveTime / 2,
-                kernel::systemRandom())
+    , m_adapter(sender(), m_loop.scheduler(), m_settings.store, m_settings.forwarding.vm,
+                m_settings.leaveTime / 2, kernel::systemRandom())
     , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding, kernel::systemRandom())
 {}
 
@@ -64,6 +64,7 @@
         = [this](const forwarding::Rollout &rollout, const forwarding::RolloutStep &step) {
               m_adapter.writeRollout(rollout, step);
           };
+    ports.shareCrashes = [this](const poison::PoisonBook &own) { m_adapter.shareCrashes(own); };
     ports.onConfiguration = [this](const forwarding::Configuration &configuration) {
         if (m_callers)
             m_callers->setLimits(configuration.limits.maxBodyBytes,
@@ -113,6 +114,11 @@
     metrics::Registry &registry = m_forwarder.metrics();
     registry.gauge("acaciasail_requests_in_progress", "Requests that are not answered",
                    [this] { return static_cast<double>(m_forwarder.inProgress()); });
+    registry.gauge(
+        "acaciasail_requests_refused_for_crashes",
+        "Different requests that are not sent for the upstreams that they crashed", [this] {
+            return static_cast<double>(forwarding::countRefused(m_forwarder.state().crashes));
+        });
     registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
                    [this] { return static_cast<double>(m_adapter.storeCalls()); });
     registry.gauge("acaciasail_upstream_connections_opened", "Connections opened to others",
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -8,7 +8,7 @@
 
 #include "forwarding/internal/answerreview.h"
 #include "forwarding/internal/attemptstate.h"
-#include "forwarding/internal/crashlist.h"
+#include "forwarding/internal/crashevidence.h"
 #include "forwarding/internal/directory.h"
 #include "forwarding/internal/engineload.h"
 #include "forwarding/internal/eventsplitter.h"
--- /dev/null
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -0,0 +1,242 @@
+#include "forwarding/internal/crashevidence.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// Requests that are tracked, and that are told to other daemons.
+constexpr std::size_t maxTracked = 1024;
+constexpr std::size_t maxShared = 64;
+constexpr std::size_t maxLost = 1024;
+// Crashes at which a request is refused. Two may be chance where upstreams fail by themselves.
+constexpr int maxCrashes = 3;
+// A request with as many is told of at once.
+constexpr int manyCrashes = 2;
+// An upstream that lives is found alive long before this.
+constexpr kernel::Duration lostTime = std::chrono::seconds(2);
+// Upstreams that go within this time of each other may have gone for the same reason.
+constexpr kernel::Duration sameReasonTime = std::chrono::milliseconds(500);
+constexpr std::ptrdiff_t manyUpstreams = 3;
+constexpr kernel::Duration goneMemory = std::chrono::minutes(1);
+// A request that has no answer from elsewhere after this time is told of.
+constexpr kernel::Duration holdTime = std::chrono::seconds(1);
+constexpr kernel::Duration shareInterval = std::chrono::seconds(1);
+
+void release(CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+{
+    auto held = evidence.held.extract(fingerprint);
+    if (held.empty())
+        return;
+    poison::PoisonBook book;
+    book.evidence[fingerprint] = std::move(held.mapped().evidence);
+    poison::merge(evidence.own, book);
+    evidence.unshared = true;
+}
+
+void releaseOverdue(CrashEvidence &evidence, kernel::Instant now)
+{
+    std::vector<poison::Fingerprint> overdue;
+    for (const auto &[fingerprint, held] : evidence.held) {
+        if (!held.progressing && now - held.since >= holdTime)
+            overdue.push_back(fingerprint);
+    }
+    for (const poison::Fingerprint &fingerprint : overdue)
+        release(evidence, fingerprint);
+}
+
+// The same precision as when it comes back from the other daemons.
+kernel::WallTime toWholeMilliseconds(kernel::WallTime time)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(time);
+}
+
+// Whether so many upstreams went with this run's that the request explains less than half of it.
+bool isOneOfMany(const CrashEvidence &evidence, const LostRun &run)
+{
+    const auto together = std::ranges::count_if(evidence.gone, [&](const auto &item) {
+        return std::chrono::abs(item.second.since - *run.goneAt) <= sameReasonTime;
+    });
+    const int explained = countCrashes(evidence, run.fingerprint);
+    return together >= manyUpstreams && 2 * explained < together;
+}
+
+bool isSettled(const LostRun &run, kernel::Instant now)
+{
+    return run.goneAt && now - *run.goneAt >= sameReasonTime;
+}
+
+void noteCrash(CrashEvidence &evidence, const LostRun &run, kernel::WallTime wallNow)
+{
+    const kernel::WallTime at = toWholeMilliseconds(wallNow);
+    evidence.known.capacity = maxTracked;
+    evidence.own.capacity = maxTracked;
+    poison::noteCrash(evidence.known, run.fingerprint, run.process, at);
+    const auto [held, first] = evidence.held.try_emplace(run.fingerprint);
+    if (first)
+        held->second.since = run.at;
+    held->second.evidence.sightings[run.process].insert(at);
+    if (!first || run.unanswered || evidence.own.evidence.contains(run.fingerprint)
+        || poison::strikes(evidence.known, run.fingerprint) >= manyCrashes
+        || evidence.held.size() > maxTracked)
+        release(evidence, run.fingerprint);
+}
+
+} // namespace
+
+kernel::UpstreamId processOf(const Upstream &upstream)
+{
+    return kernel::UpstreamId(upstream.id.str() + "@" + std::to_string(upstream.startedAtMs));
+}
+
+void noteLost(CrashEvidence &evidence, LostRun run)
+{
+    const auto gone = evidence.gone.find(run.upstream);
+    if (gone != evidence.gone.end() && !gone->second.back) {
+        // It went before the request came.
+        if (gone->second.since <= run.begun)
+            return;
+        run.goneAt = gone->second.since;
+    }
+    if (evidence.lost.size() >= maxLost)
+        evidence.lost.erase(evidence.lost.begin());
+    evidence.lost.push_back(std::move(run));
+}
+
+void noteGone(CrashEvidence &evidence, const kernel::UpstreamId &upstream, kernel::Instant now)
+{
+    const auto [gone, first] = evidence.gone.try_emplace(upstream, GoneUpstream{ now });
+    if (!first && !gone->second.back)
+        return;
+    gone->second = { now };
+    for (LostRun &run : evidence.lost) {
+        if (run.upstream == upstream && !run.goneAt)
+            run.goneAt = now;
+    }
+}
+
+void noteAlive(CrashEvidence &evidence, const kernel::UpstreamId &upstream)
+{
+    std::erase_if(evidence.lost,
+                  [&](const LostRun &run) { return run.upstream == upstream && !run.goneAt; });
+    const auto gone = evidence.gone.find(upstream);
+    if (gone != evidence.gone.end())
+        gone->second.back = true;
+}
+
+std::vector<LostRun> settleLost(CrashEvidence &evidence, kernel::Instant now,
+                                kernel::WallTime wallNow)
+{
+    for (LostRun &run : evidence.lost) {
+        if (!run.goneAt && now - run.at >= lostTime)
+            run.goneAt = run.at;
+    }
+    std::vector<LostRun> crashed;
+    std::ranges::copy_if(evidence.lost, std::back_inserter(crashed), [&](const LostRun &run) {
+        return isSettled(run, now) && !isOneOfMany(evidence, run);
+    });
+    std::erase_if(evidence.lost, [&](const LostRun &run) { return isSettled(run, now); });
+    for (const LostRun &run : crashed)
+        noteCrash(evidence, run, wallNow);
+    std::erase_if(evidence.gone,
+                  [&](const auto &item) { return now - item.second.since >= goneMemory; });
+    return crashed;
+}
+
+void noteRan(CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
+             kernel::WallTime wallNow)
+{
+    std::erase_if(evidence.lost,
+                  [&](const LostRun &run) { return run.fingerprint == fingerprint; });
+    if (poison::strikes(evidence.known, fingerprint) == 0)
+        return;
+    poison::PoisonBook ran;
+    ran.evidence[fingerprint].completedAt = toWholeMilliseconds(wallNow);
+    poison::merge(evidence.known, ran);
+    // The others know nothing of what was held.
+    if (evidence.held.erase(fingerprint) > 0 && !evidence.own.evidence.contains(fingerprint))
+        return;
+    poison::merge(evidence.own, ran);
+    evidence.unshared = true;
+}
+
+void noteProgress(CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+{
+    const auto held = evidence.held.find(fingerprint);
+    if (held != evidence.held.end())
+        held->second.progressing = true;
+}
+
+void noteUnanswered(CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+{
+    for (LostRun &run : evidence.lost)
+        run.unanswered = run.unanswered || run.fingerprint == fingerprint;
+    release(evidence, fingerprint);
+}
+
+int countCrashes(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+{
+    std::set<kernel::UpstreamId> lost;
+    for (const LostRun &run : evidence.lost) {
+        if (run.fingerprint == fingerprint)
+            lost.insert(run.process);
+    }
+    const auto known = evidence.known.evidence.find(fingerprint);
+    if (known == evidence.known.evidence.end())
+        return static_cast<int>(lost.size());
+    // A crash that another daemon has told of is not counted again.
+    std::erase_if(lost, [&](const kernel::UpstreamId &process) {
+        return known->second.sightings.contains(process);
+    });
+    return poison::strikes(evidence.known, fingerprint) + static_cast<int>(lost.size());
+}
+
+bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+{
+    return countCrashes(evidence, fingerprint) >= maxCrashes;
+}
+
+std::size_t countRefused(const CrashEvidence &evidence)
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(evidence.known.evidence, [&](const auto &entry) {
+            return poison::strikes(evidence.known, entry.first) >= maxCrashes;
+        }));
+}
+
+bool joinCrashes(CrashEvidence &evidence, const poison::PoisonBook &seen)
+{
+    evidence.known.capacity = maxTracked;
+    return poison::merge(evidence.known, seen);
+}
+
+void adoptCrashes(CrashEvidence &evidence, const poison::PoisonBook &seen)
+{
+    evidence.own.capacity = maxTracked;
+    joinCrashes(evidence, seen);
+    poison::merge(evidence.own, seen);
+}
+
+void expireCrashes(CrashEvidence &evidence, kernel::WallTime wallNow)
+{
+    poison::expire(evidence.known, wallNow);
+    poison::expire(evidence.own, wallNow);
+}
+
+bool isShareDue(CrashEvidence &evidence, kernel::Instant now)
+{
+    releaseOverdue(evidence, now);
+    return evidence.unshared && now - evidence.sharedAt >= shareInterval;
+}
+
+poison::PoisonBook takeShare(CrashEvidence &evidence, kernel::Instant now)
+{
+    evidence.unshared = false;
+    evidence.sharedAt = now;
+    return poison::newestOf(evidence.own, maxShared);
+}
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/internal/requestreport.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -58,6 +60,7 @@
                .random = random }
     , m_connect(std::move(ports.connect))
     , m_writeRollout(std::move(ports.writeRollout))
+    , m_shareCrashes(std::move(ports.shareCrashes))
     , m_onConfiguration(std::move(ports.onConfiguration))
 {
     armTick();
@@ -100,6 +103,9 @@
     const DirectoryChange change = putUpstream(m_state.directory, upstream);
     UpstreamRecord &record = m_state.records[upstream.id];
     if (record.startedAtMs != upstream.startedAtMs) {
+        // It began again, so what ran there was lost with it.
+        noteGone(m_state.crashes, upstream.id, m_state.scheduler.now());
+        noteAlive(m_state.crashes, upstream.id);
         record = {};
         record.startedAtMs = upstream.startedAtMs;
     }
@@ -146,6 +152,23 @@
         kernel::logEvent(kernel::EventId::StoreDown, {});
 }
 
+void Forwarder::joinCrashes(const kernel::VmId &from, const poison::PoisonBook &seen)
+{
+    if (!forwarding::joinCrashes(m_state.crashes, seen))
+        return;
+    kernel::logEvent(kernel::EventId::PoisonReported,
+                     { { "vm", from },
+                       { "requests", seen.evidence.size() },
+                       { "refused", countRefused(m_state.crashes) } });
+    endCrashingRequests();
+}
+
+void Forwarder::adoptCrashes(const poison::PoisonBook &seen)
+{
+    forwarding::adoptCrashes(m_state.crashes, seen);
+    endCrashingRequests();
+}
+
 void Forwarder::setOptions(const ForwardingOptions &options)
 {
     m_state.options = options;
@@ -167,10 +190,42 @@
     for (const kernel::UpstreamId &id : expireMissing(m_state.directory, m_state.scheduler.now()))
         logUpstream(id, DirectoryChange::Removed, nullptr);
     probeUnreachable();
+    reviewCrashes();
     reviewRollouts();
     armTick();
 }
 
+void Forwarder::reviewCrashes()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    const kernel::WallTime wallNow = m_state.scheduler.wallNow();
+    for (const LostRun &run : settleLost(m_state.crashes, now, wallNow)) {
+        logPoisonSuspected(m_state, run);
+        endCrashingRequests();
+    }
+    if (!m_shareCrashes || !isShareDue(m_state.crashes, now))
+        return;
+    expireCrashes(m_state.crashes, wallNow);
+    m_shareCrashes(takeShare(m_state.crashes, now));
+}
+
+// Ends what waits at upstreams and would crash them.
+void Forwarder::endCrashingRequests()
+{
+    for (const std::shared_ptr<Job> &job : jobsNow())
+        job->onCrashEvidence();
+}
+
+// Ending one request changes the set of them.
+std::vector<std::shared_ptr<Job>> Forwarder::jobsNow() const
+{
+    std::vector<std::shared_ptr<Job>> jobs;
+    jobs.reserve(m_jobs.size());
+    for (const auto &[key, job] : m_jobs)
+        jobs.push_back(job);
+    return jobs;
+}
+
 void Forwarder::reviewRollouts()
 {
     for (auto &[service, rollout] : m_state.directory.rollouts)
@@ -261,9 +316,11 @@
     const auto probe = std::move(m_probes[id]);
     m_probes.erase(id);
     if (!outcome.ok()) {
+        noteGone(m_state.crashes, id, m_state.scheduler.now());
         onUnreached(id, outcome.error().code);
         return;
     }
+    noteAlive(m_state.crashes, id);
     const auto record = m_state.records.find(id);
     if (record == m_state.records.end() || !record->second.unreachable)
         return;
@@ -289,10 +346,7 @@
     // A connection that is refused says enough; one that does not come may be a lost packet.
     if (code == kernel::ResultCode::UpstreamTimeout && record.failedProbes < failedProbesToLeave)
         return;
-    std::vector<std::shared_ptr<Job>> jobs;
-    for (const auto &[key, job] : m_jobs)
-        jobs.push_back(job);
-    for (const std::shared_ptr<Job> &job : jobs)
+    for (const std::shared_ptr<Job> &job : jobsNow())
         job->onUnreachable(id);
 }
 
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -13,6 +13,9 @@
 /// changed. What became of it comes back with the roll-out's next change.
 using RolloutWriter = std::function<void(const Rollout &rollout, const RolloutStep &step)>;
 
+/// Passes what this daemon saw of requests that crash upstreams to the other daemons.
+using CrashSharer = std::function<void(const poison::PoisonBook &own)>;
+
 /// Upstreams of one data centre that could not be reached.
 struct CutOffs
 {
@@ -28,6 +31,8 @@
     LoadReader readLoad;
     UpstreamWire wire;
     RolloutWriter writeRollout;
+    /// May be empty: each daemon then counts crashes by itself.
+    CrashSharer shareCrashes;
     /// A configuration came into force.
     std::function<void(const Configuration &)> onConfiguration;
 };
@@ -52,6 +57,10 @@
     void setRollout(const Rollout &rollout);
     void dropRollout(const kernel::ServiceName &service);
     void setStoreReachable(bool reachable);
+    /// What another daemon saw of requests that crash upstreams.
+    void joinCrashes(const kernel::VmId &from, const poison::PoisonBook &seen);
+    /// What this VM's daemon saw of them before it started again.
+    void adoptCrashes(const poison::PoisonBook &seen);
 
     /// Refuses new requests that may not be finished by then; those in progress go on. `alone`
     /// tells that callers find no other daemon until this one is back.
@@ -71,6 +80,9 @@
     void reviewRollouts();
     void reviewRollout(Rollout &rollout);
     bool isCondemnedTogether(const Rollout &rollout) const;
+    void reviewCrashes();
+    void endCrashingRequests();
+    std::vector<std::shared_ptr<Job>> jobsNow() const;
     void probeUnreachable();
     void probe(const kernel::UpstreamId &id, const kernel::Endpoint &endpoint);
     void onProbed(const kernel::UpstreamId &id, const kernel::Completion<kernel::Done> &outcome);
@@ -84,6 +96,7 @@
     // Upstreams of each data centre that lately were found to be cut off.
     std::map<kernel::DataCentreId, CutOffs> m_cutOffs;
     RolloutWriter m_writeRollout;
+    CrashSharer m_shareCrashes;
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
     std::map<kernel::ServiceName, kernel::Instant> m_rolloutAskedAt;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -110,9 +110,30 @@
     query.ownDataCentre = m_state.options.dataCentre;
     query.lane = m_plan.lane;
     query.patientPart = patientPart(m_state.laneWork[m_plan.service]);
-    query.exclude = &m_tried;
     query.now = now();
-    const auto candidates = reachableCandidates(m_state, m_plan.service, version);
+    const auto choices = chooseAmong(reachableCandidates(m_state, m_plan.service, version), query);
+    if (choices.empty())
+        endWithout(EndReason::NoCapacity, "no_upstream");
+    else if (choices.size() == 1)
+        begin(choices.front());
+    else
+        askLoads(choices);
+}
+
+// A request that was at a crash goes where no other such request is, so that the next crash, if
+// there is one, shows which of them causes it.
+std::vector<UpstreamChoice> Job::chooseAmong(const std::vector<const Upstream *> &candidates,
+                                             UpstreamQuery query)
+{
+    if (countCrashes(m_state.crashes, m_plan.fingerprint) > 0) {
+        std::set<kernel::UpstreamId> apart = m_tried;
+        apart.insert(m_state.suspectsAt.begin(), m_state.suspectsAt.end());
+        query.exclude = &apart;
+        auto choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
+        if (!choices.empty())
+            return choices;
+    }
+    query.exclude = &m_tried;
     auto choices = chooseUpstreams(candidates, m_state.records, query,
                                    enginesToAsk(candidates.size()), m_state.random);
     if (choices.empty() && !m_tried.empty()) {
@@ -120,20 +141,21 @@
         query.exclude = nullptr;
         choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
     }
-    if (choices.empty())
-        endWithout(EndReason::NoCapacity, "no_upstream");
-    else if (choices.size() == 1)
-        begin(choices.front());
-    else
-        askLoads(choices);
+    return choices;
 }
 
 void Job::begin(const UpstreamChoice &choice)
 {
+    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint)) {
+        logPoisonRefused(m_state, m_request, m_plan);
+        endWithout(EndReason::Failed, "crashes_upstreams");
+        return;
+    }
     const Upstream &upstream = *choice.upstream;
     const auto rollout = m_state.directory.rollouts.find(m_plan.service);
     Attempt attempt;
     attempt.upstream = upstream.id;
+    attempt.process = processOf(upstream);
     attempt.endpoint = upstream.endpoint;
     attempt.version = upstream.version;
     attempt.review.kind = { m_plan.route.name, m_model };
@@ -146,6 +168,9 @@
     attempt.begun = now();
     attempt.lastActivity = now();
     attempt.ranBefore = m_attempts.mayHaveRun;
+    attempt.suspect = countCrashes(m_state.crashes, m_plan.fingerprint) > 0;
+    if (attempt.suspect)
+        m_state.suspectsAt.insert(upstream.id);
 
     AttemptFacts facts;
     facts.endpoint = upstream.endpoint;
@@ -193,8 +218,7 @@
     m_repeatTaken = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
-    if (mayRepeat(m_attempts))
-        watchSilence();
+    watchSilence();
 }
 
 void Job::onHead(const http::ClientHead &clientHead)
@@ -287,6 +311,7 @@
         review(reviewFirstByte);
     }
     m_attempt->lastActivity = at;
+    noteProgress(m_state.crashes, m_plan.fingerprint);
 }
 
 // Reads no further from the upstream while the caller leaves much unread.
@@ -369,7 +394,7 @@
         return;
     }
     review(reviewEnd);
-    noteRan(m_state.crashes, m_plan.fingerprint);
+    noteRan(m_state.crashes, m_plan.fingerprint, m_state.scheduler.wallNow());
     closeAttempt(RunOutcome::Good);
     deliverWhole();
 }
@@ -397,6 +422,7 @@
     m_reachCheck.cancel();
     m_review.cancel();
     m_exchange = nullptr;
+    noteCrashOf(outcome);
     const bool judged = outcome == RunOutcome::Good || outcome == RunOutcome::Failed;
     double &share = m_state.failureShares[m_plan.service];
     if (judged)
@@ -413,6 +439,36 @@
     }
 }
 
+void Job::noteCrashOf(RunOutcome outcome)
+{
+    if (m_attempt->suspect)
+        m_state.suspectsAt.extract(m_attempt->upstream);
+    const bool broken = outcome == RunOutcome::Broken;
+    const bool unanswered = outcome == RunOutcome::Silent || outcome == RunOutcome::Cancelled;
+    const auto record = m_state.records.find(m_attempt->upstream);
+    const bool unreachable = record != m_state.records.end() && record->second.unreachable;
+    if (!m_attempt->sent || !(broken || (unanswered && unreachable)))
+        return;
+    noteLost(m_state.crashes, { .request = m_request.id,
+                                .fingerprint = m_plan.fingerprint,
+                                .upstream = m_attempt->upstream,
+                                .process = m_attempt->process,
+                                .begun = m_attempt->begun,
+                                .at = now() });
+    m_state.toProbe.insert(m_attempt->upstream);
+}
+
+void Job::onCrashEvidence()
+{
+    const auto self = shared_from_this();
+    if (m_done || !m_attempt || !m_exchange || m_attempt->head
+        || !crashesUpstreams(m_state.crashes, m_plan.fingerprint))
+        return;
+    logPoisonRefused(m_state, m_request, m_plan);
+    closeAttempt(RunOutcome::Cancelled);
+    endWithout(EndReason::Failed, "crashes_upstreams");
+}
+
 void Job::failAttempt(AttemptFailure failure, std::string_view detail)
 {
     const auto self = shared_from_this();
@@ -441,12 +497,6 @@
         closeAttempt(RunOutcome::Silent);
         break;
     case AttemptFailure::Lost:
-        kernel::logEvent(kernel::EventId::PoisonSuspected,
-                         { { "request", m_request.id },
-                           { "fingerprint", std::to_string(m_plan.fingerprint) },
-                           { "upstream", m_attempt->upstream },
-                           { "crashes", noteCrash(m_state.crashes, m_plan.fingerprint,
-                                                  m_attempt->upstream, now()) } });
         closeAttempt(RunOutcome::Broken);
         break;
     case AttemptFailure::Garbled:
@@ -454,7 +504,8 @@
         closeAttempt(RunOutcome::Failed);
         break;
     }
-    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint, now())) {
+    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint)) {
+        logPoisonRefused(m_state, m_request, m_plan);
         endWithout(EndReason::Failed, "crashes_upstreams");
         return;
     }
@@ -520,6 +571,8 @@
     if (m_done)
         return;
     m_done = true;
+    // Without effect where it ran to its end.
+    noteUnanswered(m_state.crashes, m_plan.fingerprint);
     m_deadline.cancel();
     m_question = nullptr;
     m_silence.cancel();
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -32,11 +32,15 @@
     /// may.
     void onUnreachable(const kernel::UpstreamId &upstream);
 
+    /// More is known of requests that crash upstreams: one of them that has no answer yet is ended.
+    void onCrashEvidence();
+
 private:
     // What was decided of the attempt in progress.
     struct Attempt
     {
         kernel::UpstreamId upstream;
+        kernel::UpstreamId process;
         kernel::Endpoint endpoint;
         SoftwareVersion version;
         AnswerReview review;
@@ -46,6 +50,8 @@
         kernel::Instant lastActivity{};
         bool sent = false;
         bool ranBefore = false;
+        // The request was at a crash before.
+        bool suspect = false;
         std::optional<AnswerHead> head;
         std::string body;
         bool firstByteSeen = false;
@@ -65,6 +71,8 @@
 
     VersionChoice versionForSession() const;
     void tryNext();
+    std::vector<UpstreamChoice> chooseAmong(const std::vector<const Upstream *> &candidates,
+                                            UpstreamQuery query);
     // How many of the engines that come into question are asked for their load; 1 for none.
     std::size_t enginesToAsk(std::size_t candidates) const;
     // Asks one engine after the other until one is roomy, then begins at the best of them.
@@ -88,6 +96,8 @@
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void closeAttempt(RunOutcome outcome);
+    // Takes an attempt that ended without an answer into the evidence on crashes.
+    void noteCrashOf(RunOutcome outcome);
     // Takes the attempt in progress into the evidence of a roll-out, if there is one.
     void review(void (*step)(AnswerReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
--- a/src/forwarding/internal/jobwaiting.cpp
+++ b/src/forwarding/internal/jobwaiting.cpp
@@ -90,9 +90,12 @@
                           timeLeft());
 }
 
+// Whether the upstream is still there matters to other requests too, and shows whether this one
+// crashed it.
 void Job::watchSilence()
 {
-    armSilence(silenceAllowed());
+    if (mayRepeat(m_attempts))
+        armSilence(silenceAllowed());
     armReachCheck(reachCheckAfter);
 }
 
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/requestplan.h"
 
 #include "forwarding/internal/attemptstate.h"
+#include "forwarding/internal/requestreport.h"
 #include "forwarding/internal/routematch.h"
 
 namespace acaciasail::forwarding {
@@ -97,13 +98,9 @@
         noteWork(recent, plan.lane, expectedWork(*request.work));
         plan.usualWork = usualWork(recent);
     }
-    plan.fingerprint = kernel::hash64(
-        request.body, kernel::hash64(request.target, kernel::hash64(plan.workspace.str())));
-    if (crashesUpstreams(state.crashes, plan.fingerprint, request.arrived)) {
-        kernel::logEvent(kernel::EventId::PoisonRefused,
-                         { { "request", request.id },
-                           { "route", plan.route.name },
-                           { "fingerprint", std::to_string(plan.fingerprint) } });
+    plan.fingerprint = poison::makeFingerprint(plan.workspace, request.target, request.body);
+    if (crashesUpstreams(state.crashes, plan.fingerprint)) {
+        logPoisonRefused(state, request, plan);
         return Refusal{ finalStatus({ .mayHaveRun = true }, EndReason::Failed),
                         "crashes_upstreams" };
     }
--- a/src/forwarding/internal/requestplan.h
+++ b/src/forwarding/internal/requestplan.h
@@ -23,7 +23,7 @@
     Lane lane = Lane::Any;
     /// Mean work of the service's recent requests.
     double usualWork = 0;
-    RequestFingerprint fingerprint = 0;
+    poison::Fingerprint fingerprint;
 };
 
 /// Why a request is not sent to any upstream.
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/requestreport.cpp
@@ -48,4 +48,25 @@
           { "took_ms", kernel::toMilliseconds(now - request.arrived) } });
 }
 
+void logPoisonSuspected(ForwardingState &state, const LostRun &run)
+{
+    state.metrics.crashes().add();
+    kernel::logEvent(kernel::EventId::PoisonSuspected,
+                     { { "request", run.request },
+                       { "fingerprint", run.fingerprint },
+                       { "upstream", run.upstream },
+                       { "process", run.process },
+                       { "crashes", countCrashes(state.crashes, run.fingerprint) } });
+}
+
+void logPoisonRefused(const ForwardingState &state, const Request &request, const RequestPlan &plan)
+{
+    kernel::logEvent(kernel::EventId::PoisonRefused,
+                     { { "request", request.id },
+                       { "route", plan.route.name },
+                       { "fingerprint", plan.fingerprint },
+                       { "crashes", countCrashes(state.crashes, plan.fingerprint) },
+                       { "own", poison::strikes(state.crashes.own, plan.fingerprint) } });
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/requestreport.h
@@ -26,4 +26,11 @@
 void reportFinish(ForwardingState &state, const Request &request, const RequestPlan &plan,
                   const RequestEnd &end);
 
+/// Counts and logs that an upstream crashed while it ran a request.
+void logPoisonSuspected(ForwardingState &state, const LostRun &run);
+
+/// Logs that a request is not sent for the crashes that it was at.
+void logPoisonRefused(const ForwardingState &state, const Request &request,
+                      const RequestPlan &plan);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -36,6 +36,12 @@
                             { { "reason", std::string(reason) } });
 }
 
+metrics::Counter &ForwardingMetrics::crashes()
+{
+    return registry.counter("acaciasail_crashed_runs_total",
+                            "Requests that ran at an upstream when it crashed", {});
+}
+
 metrics::TimeHistogram &ForwardingMetrics::firstByte(const std::string &kind)
 {
     return registry.histogram("acaciasail_first_byte_seconds",
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -5,7 +5,7 @@
 #include <set>
 #include <utility>
 
-#include "forwarding/internal/crashlist.h"
+#include "forwarding/internal/crashevidence.h"
 #include "forwarding/internal/directory.h"
 #include "forwarding/internal/engineload.h"
 #include "forwarding/internal/lanes.h"
@@ -51,6 +51,7 @@
     metrics::Counter &requests(const std::string &route, int status);
     metrics::Counter &attempts(std::string_view outcome);
     metrics::Counter &refusals(std::string_view reason);
+    metrics::Counter &crashes();
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &whole(const std::string &kind);
 };
@@ -88,7 +89,9 @@
     /// Share of failures of each service's answers, with decay.
     std::map<kernel::ServiceName, double> failureShares;
     std::map<kernel::ServiceName, RolloutEvidence> evidence;
-    CrashList crashes;
+    CrashEvidence crashes;
+    /// Upstreams at which requests are in progress that were at a crash before, one entry each.
+    std::multiset<kernel::UpstreamId> suspectsAt;
     ForwardingMetrics metrics;
 };
 
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -208,28 +208,6 @@
     EXPECT_FALSE(splitter.feed(piece, [](const StreamEvent &) {}));
 }
 
-TEST(CrashListTest, StopsARequestAfterItsThirdCrash)
-{
-    CrashList list;
-    noteCrash(list, 7, kernel::UpstreamId("a"), at(0));
-    noteCrash(list, 7, kernel::UpstreamId("b"), at(10));
-    EXPECT_FALSE(crashesUpstreams(list, 7, at(20)));
-    noteCrash(list, 7, kernel::UpstreamId("c"), at(20));
-    EXPECT_TRUE(crashesUpstreams(list, 7, at(30)));
-    EXPECT_FALSE(crashesUpstreams(list, 8, at(30)));
-    noteRan(list, 7);
-    EXPECT_FALSE(crashesUpstreams(list, 7, at(40))) << "one that ran to its end crashes nobody";
-}
-
-TEST(CrashListTest, IsBounded)
-{
-    CrashList list;
-    for (RequestFingerprint i = 0; i < 5000; ++i)
-        noteCrash(list, i, kernel::UpstreamId("a"), at(static_cast<std::int64_t>(i)));
-    EXPECT_LE(list.entries.size(), 1024U);
-    EXPECT_TRUE(list.entries.contains(4999));
-}
-
 TEST(ModelChoice, AsksTheSmallestFirstAndTheLargestOnDoubt)
 {
     Route sized = route("a", "/");
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -1,3 +1,7 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
 #include <gtest/gtest.h>
 
 #include "forwarding/tests/fakes.h"
@@ -472,6 +476,93 @@
     EXPECT_EQ(site.http.sends.size(), 4U);
 }
 
+TEST(JobTest, ALostConnectionToALivingUpstreamIsNoCrash)
+{
+    Site site;
+    for (int i = 0; i < 5; ++i) {
+        site.http.connects.clear();
+        const auto caller = site.ask("/unsafe/x", "same");
+        site.http.last().connect();
+        site.http.last().fail(kernel::ResultCode::UpstreamBroken);
+        EXPECT_EQ(caller->status, 502);
+        site.clock.advance(150ms);
+        ASSERT_EQ(site.http.connects.size(), 1U);
+        site.http.connects[0].stands();
+    }
+    EXPECT_FALSE(site.ask("/unsafe/x", "same")->ended);
+}
+
+TEST(JobTest, AnUpstreamThatWentDarkCrashed)
+{
+    Site site;
+    const auto isDark = [&](const kernel::Endpoint &endpoint) {
+        return std::ranges::any_of(
+            site.http.sends, [&](const auto &send) { return send->request.endpoint == endpoint; });
+    };
+    for (int asked = 0; asked < 2; ++asked) {
+        const auto caller = site.ask("/safe/x", "crashing");
+        std::size_t sends = 0;
+        while (!caller->ended) {
+            if (std::exchange(sends, site.http.sends.size()) != sends)
+                site.http.last().connect();
+            site.clock.advance(100ms);
+            for (Connect &connect : std::exchange(site.http.connects, {})) {
+                if (isDark(connect.endpoint))
+                    connect.fails(kernel::ResultCode::UpstreamTimeout);
+                else
+                    connect.stands();
+            }
+        }
+        site.clock.advance(200ms);
+    }
+    const std::size_t sends = site.http.sends.size();
+    EXPECT_EQ(sends, 3U);
+    EXPECT_EQ(site.ask("/safe/x", "crashing")->status, 502);
+    EXPECT_EQ(site.http.sends.size(), sends);
+}
+
+TEST(JobTest, RequestsThatWereAtACrashAreTriedApart)
+{
+    Site site;
+    std::vector<std::shared_ptr<FakeResponder>> callers;
+    while (site.http.sends.size() < 6)
+        callers.push_back(site.ask("/safe/x", std::to_string(site.http.sends.size())));
+    const std::vector<std::shared_ptr<Send>> firstSends = site.http.sends;
+    const std::string crashed = sentHeader(*firstSends[0], "upstream");
+    for (const auto &send : firstSends) {
+        send->connect();
+        if (sentHeader(*send, "upstream") == crashed)
+            send->fail(kernel::ResultCode::UpstreamBroken);
+    }
+    std::set<std::string> upstreams;
+    for (std::size_t i = firstSends.size(); i < site.http.sends.size(); ++i)
+        upstreams.insert(sentHeader(*site.http.sends[i], "upstream"));
+    ASSERT_EQ(site.http.sends.size(), firstSends.size() + 2);
+    EXPECT_EQ(upstreams.size(), 2U);
+}
+
+TEST(JobTest, ARequestThatOthersSawAtCrashesIsEndedWhereItWaits)
+{
+    Site site;
+    const auto crashing = site.ask("/safe/x", "crashing");
+    const auto innocent = site.ask("/safe/x", "innocent");
+    for (const auto &send : site.http.sends)
+        send->connect();
+    poison::PoisonBook seen;
+    const auto fingerprint
+        = poison::makeFingerprint(kernel::WorkspaceId("makers"), "/safe/x", "crashing");
+    for (const char *process : { "d7@0", "d8@0", "d9@0" }) {
+        poison::noteCrash(seen, fingerprint, kernel::UpstreamId(process),
+                          site.clock.scheduler().wallNow());
+    }
+    site.forwarder.joinCrashes(kernel::VmId("vm-2"), seen);
+    EXPECT_EQ(crashing->status, 502) << "it may have run";
+    EXPECT_TRUE(site.http.sends[0]->cancelled);
+    EXPECT_FALSE(innocent->ended);
+    EXPECT_EQ(site.ask("/safe/x", "crashing")->status, 502);
+    EXPECT_EQ(site.http.sends.size(), 2U);
+}
+
 // Seen when a version's upstreams had gone: one request tried the same dead address 25 times and
 // spent the retry budget of all.
 TEST(JobTest, ARequestThatReachesNobodyEndsSoonAndSpendsNoBudget)
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -45,6 +45,7 @@
     StreamResumed = 3205,
     PoisonSuspected = 3206,
     PoisonRefused = 3207,
+    PoisonReported = 3208,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
--- a/src/poison/internal/poisonbook.cpp
+++ b/src/poison/internal/poisonbook.cpp
@@ -76,10 +76,15 @@
         const bool refused = strikesOf(entry.second) >= poisonStrikes;
         ranks.push_back({ refused, newest(entry.second), &entry });
     }
-    std::ranges::sort(ranks, [](const Rank &a, const Rank &b) {
+    const auto before = [](const Rank &a, const Rank &b) {
         return std::tie(b.refused, b.newest, a.entry->first)
                < std::tie(a.refused, a.newest, b.entry->first);
-    });
+    };
+    std::ranges::sort(ranks, before);
+    // Half of the room stays for what may be found out.
+    for (std::size_t i = book.capacity / 2; i < ranks.size(); ++i)
+        ranks[i].refused = false;
+    std::ranges::sort(ranks, before);
     std::vector<const Entry *> entries;
     entries.reserve(ranks.size());
     for (const Rank &rank : ranks)
--- a/src/poison/tests/poisonbook_tests.cpp
+++ b/src/poison/tests/poisonbook_tests.cpp
@@ -71,16 +71,31 @@
 TEST(PoisonBook, ManySuspectsDoNotPushOutARefusedRequest)
 {
     PoisonBook book;
-    book.capacity = 3;
+    book.capacity = 4;
     noteCrash(book, crasher, upstream(1), at(1s));
     noteCrash(book, crasher, upstream(2), at(2s));
     for (int i = 0; i < 20; ++i)
         noteCrash(book, Fingerprint("suspect " + std::to_string(i)), upstream(3), at(10s));
-    EXPECT_EQ(book.evidence.size(), 3U);
+    EXPECT_EQ(book.evidence.size(), 4U);
     EXPECT_EQ(strikes(book, crasher), 2);
     EXPECT_TRUE(newestOf(book, 1).evidence.contains(crasher));
 }
 
+TEST(PoisonBook, ManyRefusedRequestsLeaveRoomForNewOnes)
+{
+    PoisonBook book;
+    book.capacity = 4;
+    for (int i = 0; i < 20; ++i) {
+        const Fingerprint refused("refused " + std::to_string(i));
+        noteCrash(book, refused, upstream(1), at(std::chrono::seconds(i)));
+        noteCrash(book, refused, upstream(2), at(std::chrono::seconds(i)));
+    }
+    noteCrash(book, crasher, upstream(1), at(100s));
+    noteCrash(book, Fingerprint("other"), upstream(1), at(101s));
+    noteCrash(book, crasher, upstream(2), at(102s));
+    EXPECT_EQ(strikes(book, crasher), 2);
+}
+
 TEST(PoisonBook, RefusesMalformedEvidence)
 {
     PoisonBook book;
