Soak: requests that crash runners come again at any router

Change: soak/crashingrequests, which counts the runners that a request ends later than 3 s after the third, through routers that nothing touched meanwhile; the runner stand-in ends at such a body; timers of the soak's world stay where they are.

--- /dev/null
+++ b/soak/crashingrequests.cpp
@@ -0,0 +1,83 @@
+#include "crashingrequests.h"
+
+#include "platform/testing/wireforms.h"
+
+namespace acaciasail::soak {
+
+namespace {
+
+constexpr kernel::Duration interval = std::chrono::milliseconds(250);
+constexpr kernel::Duration patience = std::chrono::seconds(2);
+// A caller goes on sending for this long; then another one begins.
+constexpr kernel::Duration timeOfOne = std::chrono::seconds(8);
+// Crashes from which on a request must be known, and the time in which routers hear of it.
+constexpr int crashesToKnow = 3;
+constexpr kernel::Duration bound = std::chrono::seconds(3);
+// Crashes that may come later still.
+constexpr int crashesAllowed = 3;
+
+} // namespace
+
+CrashingRequests::CrashingRequests(http::EventLoop &loop, World &world, kernel::Random random)
+    : m_loop(loop)
+    , m_world(world)
+    , m_client(loop)
+    , m_random(random)
+{
+    m_world.whenRunnerCrashes(
+        [this](const std::string &request, const std::string &body) { onCrash(request, body); });
+    begin();
+    next();
+}
+
+void CrashingRequests::begin()
+{
+    constexpr const char *paths[] = { "/desk/x", "/look/x", "/chat/x" };
+    m_crasher = {};
+    m_crasher.path = paths[kernel::uniformBelow(m_random, std::size(paths))];
+    m_crasher.body = std::string(crashingBody) + std::to_string(++m_crashers);
+    m_crasher.until = m_loop.scheduler().now() + timeOfOne;
+}
+
+void CrashingRequests::next()
+{
+    m_next = kernel::Timer(m_loop.scheduler(), interval, [this] {
+        if (m_loop.scheduler().now() >= m_crasher.until)
+            begin();
+        ask();
+        next();
+    });
+}
+
+void CrashingRequests::ask()
+{
+    const std::size_t router = kernel::uniformBelow(m_random, m_world.routers().size());
+    const std::string id = "p" + std::to_string(++m_lastRequest);
+    m_routers[id] = router;
+    http::ClientRequest request = platform::testing::callerForm(m_world.routers()[router].callers,
+                                                                m_crasher.path, id, patience);
+    request.body = m_crasher.body;
+    request.maxIdle = {};
+    m_client.fetch(request, [](const kernel::Completion<http::ClientResponse> &) {});
+}
+
+void CrashingRequests::onCrash(const std::string &request, const std::string &body)
+{
+    if (body != m_crasher.body)
+        return;
+    const kernel::Instant now = m_loop.scheduler().now();
+    if (++m_crasher.crashes == crashesToKnow)
+        m_crasher.thirdCrash = now;
+    const std::size_t router = m_routers[request];
+    if (m_crasher.crashes <= crashesToKnow || now - m_crasher.thirdCrash < bound
+        || m_world.isDisturbed(router, now - bound))
+        return;
+    if (++m_crasher.laterCrashes > crashesAllowed) {
+        m_world.record().broken.push_back(
+            "a request that crashes runners is known everywhere after 3 s: " + request
+            + " at router " + std::to_string(router) + ", crash "
+            + std::to_string(m_crasher.crashes) + " of " + m_crasher.path);
+    }
+}
+
+} // namespace acaciasail::soak
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -155,6 +155,7 @@
         RunnerMood good;
         good.eventsOfStream = one->standin->mood().eventsOfStream;
         good.work = World::workTime();
+        good.crashesOn = crashingBody;
         one->standin->mood() = good;
     }
 }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,7 @@
 
 #include "callers.h"
 #include "configurationcheck.h"
+#include "crashingrequests.h"
 #include "faults.h"
 
 namespace {
@@ -96,6 +97,9 @@
     play(settleTime);
     {
         Faults faults(world, kernel::Random(random()), options.plannedOnly);
+        std::optional<CrashingRequests> crashing;
+        if (!options.plannedOnly)
+            crashing.emplace(loop, world, kernel::Random(random()));
         play(std::chrono::seconds(options.seconds));
         faults.stop();
         play(calmTime);
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -202,6 +202,11 @@
         = std::make_unique<RunnerStandin>(m_loop, kernel::Endpoint{ "127.0.0.1", 0 }, place->id);
     place->standin->mood().eventsOfStream = eventsOfStream;
     place->standin->mood().work = usualWork;
+    place->standin->mood().crashesOn = crashingBody;
+    place->standin->whenCrashed(
+        [this, id = place->id](const platform::testing::SeenRequest &request) {
+            onRunnerCrash(id, request);
+        });
     place->path = std::make_unique<LoopbackProxy>(m_loop, place->standin->endpoint());
     registerRunner(*place);
     m_runners.push_back(std::move(place));
@@ -231,11 +236,26 @@
 
 void World::killRunner(std::size_t index)
 {
-    const RunnerPlace &runner = *m_runners[index];
     noteUnplanned("runner killed", lapseTime);
-    const std::string id = runner.id;
-    const std::string service = runner.service;
-    const bool wasLeaving = runner.leaving;
+    endRunner(m_runners[index]->id);
+}
+
+// The runner can't go within its own call.
+void World::onRunnerCrash(const std::string &id, const platform::testing::SeenRequest &request)
+{
+    noteUnplanned("runner crashed at " + request.id, lapseTime);
+    m_timers.emplace_back(scheduler(), kernel::Duration{}, [this, id] { endRunner(id); });
+    if (m_onRunnerCrash)
+        m_onRunnerCrash(request.id, request.body);
+}
+
+void World::endRunner(std::string id)
+{
+    const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
+    if (found == m_runners.end())
+        return;
+    const std::string service = (*found)->service;
+    const bool wasLeaving = (*found)->leaving;
     removeRunner(id);
     m_timers.emplace_back(scheduler(), lapseTime, [this, id] { m_store.remove("servers", id); });
     if (!wasLeaving) {
@@ -293,6 +313,18 @@
     m_record.storeTrouble.push_back({ now, now + time, "store", router });
 }
 
+bool World::isDisturbed(std::size_t router, kernel::Instant since) const
+{
+    const auto touches = [&](const Disturbance &one) {
+        return (!one.router || *one.router == router) && one.to >= since;
+    };
+    // Runners that end say nothing of the router.
+    const auto touchesIt = [&](const Disturbance &one) { return one.router && touches(one); };
+    return std::ranges::any_of(m_record.storeTrouble, touches)
+           || std::ranges::any_of(m_record.unplanned, touchesIt)
+           || std::ranges::any_of(m_record.planned, touchesIt);
+}
+
 kernel::Duration World::workTime()
 {
     return usualWork;
--- a/soak/world.h
+++ b/soak/world.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +20,9 @@
 inline constexpr double repeatSlack = 20;
 inline constexpr int repeatWindowSeconds = 10;
 
+/// Bodies that begin so crash the runner that begins to run them.
+inline constexpr std::string_view crashingBody = "crashing-";
+
 /// Which programs run, and where their files go.
 struct WorldOptions
 {
@@ -87,6 +92,14 @@
     /// A runner ends at once; the store hears of it later.
     void killRunner(std::size_t index);
 
+    /// Called with a request's id and body when it has ended its runner.
+    void whenRunnerCrashes(std::function<void(const std::string &, const std::string &)> function)
+    {
+        m_onRunnerCrash = std::move(function);
+    }
+    /// Whether a router or its path to the store was in trouble, or worked on, since then.
+    bool isDisturbed(std::size_t router, kernel::Instant since) const;
+
     void noteUnplanned(const std::string &what, kernel::Duration time,
                        std::optional<std::size_t> router = {});
     void notePlanned(const std::string &what, kernel::Duration time,
@@ -103,6 +116,8 @@
     void addRunner(const std::string &service);
     void registerRunner(const RunnerPlace &runner);
     void removeRunner(const std::string &id);
+    void onRunnerCrash(const std::string &id, const platform::testing::SeenRequest &request);
+    void endRunner(std::string id);
     void countRuns(const RunnerPlace &runner);
     void sampleTotals();
 
@@ -112,7 +127,9 @@
     Record m_record;
     std::vector<RouterPlace> m_routers;
     std::vector<std::unique_ptr<RunnerPlace>> m_runners;
-    std::vector<kernel::Timer> m_timers;
+    std::function<void(const std::string &, const std::string &)> m_onRunnerCrash;
+    // Timers stay where they are, as one may set another.
+    std::deque<kernel::Timer> m_timers;
     kernel::Timer m_sampler;
     int m_lastRunner = 0;
     int m_version = 0;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -157,7 +157,7 @@
     if (!forwarding::joinCrashes(m_state.crashes, seen))
         return;
     kernel::logEvent(kernel::EventId::PoisonReported,
-                     { { "vm", from },
+                     { { "from", from },
                        { "requests", seen.evidence.size() },
                        { "refused", countRefused(m_state.crashes) } });
     endCrashingRequests();
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -68,7 +68,7 @@
     EventInfo{ EventId::PoisonRefused, "PoisonRefused", EventLevel::Warn,
         "A request is refused because it crashed its upstreams; fields: fingerprint, crashes, own ones." },
     EventInfo{ EventId::PoisonReported, "PoisonReported", EventLevel::Info,
-        "Another daemon told of crashed runs; fields: vm, its requests, how many are refused now." },
+        "Another daemon told of crashed runs; fields: from whom, its requests, how many are refused now." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
