--- a/soak/crashingrequests.cpp
+++ b/soak/crashingrequests.cpp
@@ -6,10 +6,10 @@
 
 namespace {
 
-constexpr kernel::Duration interval = std::chrono::milliseconds(250);
+constexpr kernel::Duration interval = std::chrono::milliseconds(150);
 constexpr kernel::Duration patience = std::chrono::seconds(2);
 // A caller goes on sending for this long; then another one begins.
-constexpr kernel::Duration timeOfOne = std::chrono::seconds(8);
+constexpr kernel::Duration timeOfOne = std::chrono::seconds(7);
 // Crashes from which on a request must be known, and the time in which routers hear of it.
 constexpr int crashesToKnow = 3;
 constexpr kernel::Duration bound = std::chrono::seconds(3);
@@ -36,6 +36,7 @@
     m_crasher = {};
     m_crasher.path = paths[kernel::uniformBelow(m_random, std::size(paths))];
     m_crasher.body = std::string(crashingBody) + std::to_string(++m_crashers);
+    m_crasher.firstRouter = kernel::uniformBelow(m_random, m_world.routers().size());
     m_crasher.until = m_loop.scheduler().now() + timeOfOne;
 }
 
@@ -49,9 +50,14 @@
     });
 }
 
+// First at one router until that must know it, then, once all must, everywhere.
 void CrashingRequests::ask()
 {
-    const std::size_t router = kernel::uniformBelow(m_random, m_world.routers().size());
+    const bool known = m_crasher.crashes >= crashesToKnow;
+    if (known && m_loop.scheduler().now() - m_crasher.thirdCrash < bound)
+        return;
+    const std::size_t router
+        = known ? kernel::uniformBelow(m_random, m_world.routers().size()) : m_crasher.firstRouter;
     const std::string id = "p" + std::to_string(++m_lastRequest);
     m_routers[id] = router;
     http::ClientRequest request = platform::testing::callerForm(m_world.routers()[router].callers,
--- a/soak/crashingrequests.h
+++ b/soak/crashingrequests.h
@@ -22,6 +22,7 @@
     {
         std::string path;
         std::string body;
+        std::size_t firstRouter = 0;
         kernel::Instant until{};
         int crashes = 0;
         kernel::Instant thirdCrash{};
--- a/soak/world.h
+++ b/soak/world.h
@@ -28,7 +28,7 @@
 {
     std::string routerProgram;
     std::string folder;
-    std::size_t routers = 3;
+    std::size_t routers = 5;
     std::size_t engines = 6;
     std::size_t desks = 4;
 };
