What upstreams say of themselves binds the router: leaving, and rest after a 503

The router read neither header: an upstream that said that it leaves got 17 more requests of 30 while its registration said ready, one that asked for 0.7 s of rest was asked again at once, and a service whose only upstream asked for 3.5 s was asked nine times in 5 ms, its callers sent back after 0.5 s. Cause: only registrations and the router's own outcomes were weighed where an upstream is chosen. Change: UpstreamNotices with each upstream's process, taken from any answer (refusals, heads of streams, reports of load); closed upstreams are never chosen; the refusal says when the first one is back; a list of registrations, too, notes another start under the same id, which forgot what was known of a process only by chance before.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -39,7 +39,7 @@
     , m_settingsStamp(stampOf(m_settingsFile))
     , m_client(m_loop)
     , m_adapter(sender(), m_loop.scheduler(), m_settings.store, m_settings.forwarding.vm,
-                m_settings.leaveTime / 2, kernel::systemRandom())
+                m_settings.forwarding.leaveTime / 2, kernel::systemRandom())
     , m_forwarder(m_loop.scheduler(), makePorts(), m_settings.forwarding, kernel::systemRandom())
 {}
 
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -65,7 +65,7 @@
     settings.readinessListen = reader.requiredEndpoint("readiness.listen");
     settings.metricsListen = reader.endpoint("metrics.listen", {});
     settings.store = reader.requiredEndpoint("store.address");
-    settings.leaveTime
+    settings.forwarding.leaveTime
         = reader.milliseconds("upstreams.leave_ms", defaultLeaveTime, { 100, minuteMilliseconds });
     settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
     settings.balancerDelay = readSeconds(reader, "stop.balancer_delay_s", 2.8);
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -16,8 +16,6 @@
     kernel::Endpoint readinessListen;
     kernel::Endpoint metricsListen;
     kernel::Endpoint store;
-    /// Time for which an upstream that leaves goes on serving.
-    kernel::Duration leaveTime{};
     std::size_t maxConnections = 0;
     /// Time from SIGTERM to the end of the process at the latest.
     kernel::Duration stopTimeout{};
--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -23,3 +23,4 @@
 #include "forwarding/internal/state.h"
 #include "forwarding/internal/types.h"
 #include "forwarding/internal/upstreamchoice.h"
+#include "forwarding/internal/upstreamnotices.h"
--- a/src/forwarding/internal/engineload.h
+++ b/src/forwarding/internal/engineload.h
@@ -17,6 +17,8 @@
     int queued = 0;
     std::int64_t memoryUsed = 0;
     std::int64_t memoryTotal = 0;
+    /// The answer says that the engine leaves.
+    bool leaving = false;
 };
 
 /// Asks an engine for its load; destroying the result cancels the question. Errors: those of
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -94,6 +94,8 @@
 void Forwarder::setUpstreams(const std::vector<Upstream> &upstreams)
 {
     replaceUpstreams(m_state.directory, upstreams, m_state.scheduler.now());
+    for (const Upstream &upstream : upstreams)
+        noteStart(upstream);
     kernel::logEvent(kernel::EventId::UpstreamsListed, { { "upstreams", upstreams.size() } });
     forgetRecords();
 }
@@ -101,15 +103,24 @@
 void Forwarder::setUpstream(const Upstream &upstream)
 {
     const DirectoryChange change = putUpstream(m_state.directory, upstream);
-    UpstreamRecord &record = m_state.records[upstream.id];
-    if (record.startedAtMs != upstream.startedAtMs) {
-        // It began again, so what ran there was lost with it.
+    noteStart(upstream);
+    logUpstream(upstream.id, change, &upstream);
+}
+
+// Another process under the same id knows and holds nothing of before.
+void Forwarder::noteStart(const Upstream &upstream)
+{
+    const auto [at, added] = m_state.records.try_emplace(upstream.id);
+    UpstreamRecord &record = at->second;
+    if (record.startedAtMs == upstream.startedAtMs)
+        return;
+    if (!added) {
+        // What ran at the process before was lost with it.
         noteGone(m_state.crashes, upstream.id, m_state.scheduler.now());
         noteAlive(m_state.crashes, upstream.id);
-        record = {};
-        record.startedAtMs = upstream.startedAtMs;
     }
-    logUpstream(upstream.id, change, &upstream);
+    record = {};
+    record.startedAtMs = upstream.startedAtMs;
 }
 
 void Forwarder::dropUpstream(const kernel::UpstreamId &id)
@@ -368,8 +379,10 @@
 // Drops the records of upstreams that are gone and idle.
 void Forwarder::forgetRecords()
 {
-    std::erase_if(m_state.records, [this](const auto &item) {
-        return item.second.inFlight == 0 && !m_state.directory.upstreams.contains(item.first);
+    const kernel::Instant now = m_state.scheduler.now();
+    std::erase_if(m_state.records, [&](const auto &item) {
+        return item.second.inFlight == 0 && !binds(item.second.notices, now)
+               && !m_state.directory.upstreams.contains(item.first);
     });
 }
 
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -88,6 +88,7 @@
     void onProbed(const kernel::UpstreamId &id, const kernel::Completion<kernel::Done> &outcome);
     void onUnreached(const kernel::UpstreamId &id, kernel::ResultCode code);
     void suspectDataCentre(const kernel::DataCentreId &dataCentre);
+    void noteStart(const Upstream &upstream);
     void forgetRecords();
 
     ForwardingState m_state;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -152,6 +152,11 @@
         return;
     }
     const Upstream &upstream = *choice.upstream;
+    // It may have said so while others were asked for their load.
+    if (opennessOf(m_state.records[upstream.id].notices, now()) == Openness::Closed) {
+        tryNext();
+        return;
+    }
     const auto rollout = m_state.directory.rollouts.find(m_plan.service);
     Attempt attempt;
     attempt.upstream = upstream.id;
@@ -226,6 +231,7 @@
     const auto self = shared_from_this();
     m_attempt->lastActivity = now();
     AnswerHead head = m_state.wire.decodeHead(clientHead);
+    noteNotices(head);
     if (head.wrongUpstream || head.notRun) {
         noteRefused(m_attempts, m_attempt->ranBefore);
         failAttempt(head.wrongUpstream ? AttemptFailure::WrongUpstream : AttemptFailure::Refused,
@@ -249,6 +255,24 @@
         return;
 }
 
+void Job::noteNotices(const AnswerHead &head)
+{
+    const auto known = m_state.directory.upstreams.find(m_attempt->upstream);
+    // Another process under its id has said nothing.
+    const bool replaced = head.wrongUpstream
+                          || (known != m_state.directory.upstreams.end()
+                              && processOf(known->second.entry) != m_attempt->process);
+    if (replaced || !(head.leaving || head.rest || head.restUnreadable))
+        return;
+    UpstreamNotices &notices = m_state.records[m_attempt->upstream].notices;
+    if (head.leaving && noteLeaving(notices, now(), m_state.options.leaveTime))
+        logUpstreamLeaving(m_state, m_request, m_attempt->upstream);
+    if (head.rest)
+        noteRest(notices, now(), *head.rest, m_state.random);
+    if (head.rest || head.restUnreadable)
+        logUpstreamRests(m_state, m_request, m_attempt->upstream);
+}
+
 // Drops the answer of a small model that doubts it, before anything of it went to the caller.
 bool Job::escalate()
 {
@@ -560,8 +584,10 @@
     const int status = finalStatus(m_attempts, reason);
     kernel::Duration retryAfter{};
     if (status == unavailable) {
-        retryAfter = kernel::fromSeconds(
-            retryAfterMinSeconds + retryAfterSpreadSeconds * kernel::uniform01(m_state.random));
+        const double seconds
+            = retryAfterMinSeconds + retryAfterSpreadSeconds * kernel::uniform01(m_state.random);
+        retryAfter = restOf(m_state, m_plan.service).value_or(kernel::Duration{})
+                     + kernel::fromSeconds(seconds);
     }
     refuse(status, why, retryAfter);
 }
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -96,6 +96,8 @@
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void closeAttempt(RunOutcome outcome);
+    // Takes in what the upstream of the attempt in progress says of itself.
+    void noteNotices(const AnswerHead &head);
     // Takes an attempt that ended without an answer into the evidence on crashes.
     void noteCrashOf(RunOutcome outcome);
     // Takes the attempt in progress into the evidence of a roll-out, if there is one.
--- a/src/forwarding/internal/jobwaiting.cpp
+++ b/src/forwarding/internal/jobwaiting.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "forwarding/internal/requestreport.h"
+
 namespace acaciasail::forwarding {
 
 // The waiting in a request's life: for what engines say of their load, and for an answer that is
@@ -58,6 +60,9 @@
     bool roomy = false;
     if (outcome.ok()) {
         question.load = outcome.value();
+        UpstreamNotices &notices = m_state.records[question.upstream.id].notices;
+        if (question.load->leaving && noteLeaving(notices, now(), m_state.options.leaveTime))
+            logUpstreamLeaving(m_state, m_request, question.upstream.id);
         UsualLoad &usual = m_state.usualLoads[m_plan.service];
         roomy = isRoomy(usual, *question.load);
         noteLoad(usual, *question.load);
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/requestreport.cpp
@@ -1,5 +1,7 @@
 #include "forwarding/internal/requestreport.h"
 
+#include <algorithm>
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -59,6 +61,26 @@
                        { "crashes", countCrashes(state.crashes, run.fingerprint) } });
 }
 
+void logUpstreamLeaving(ForwardingState &state, const Request &request,
+                        const kernel::UpstreamId &upstream)
+{
+    state.metrics.notices("leaving").add();
+    kernel::logEvent(kernel::EventId::UpstreamLeaving,
+                     { { "upstream", upstream }, { "request", request.id } });
+}
+
+void logUpstreamRests(ForwardingState &state, const Request &request,
+                      const kernel::UpstreamId &upstream)
+{
+    state.metrics.notices("rest").add();
+    const kernel::Duration rest = state.records[upstream].notices.restUntil - state.scheduler.now();
+    kernel::logEvent(kernel::EventId::UpstreamRests,
+                     { { "upstream", upstream },
+                       { "request", request.id },
+                       // Zero where it asked by a text that is no time.
+                       { "rest_ms", std::max<std::int64_t>(kernel::toMilliseconds(rest), 0) } });
+}
+
 void logPoisonRefused(const ForwardingState &state, const Request &request, const RequestPlan &plan)
 {
     kernel::logEvent(kernel::EventId::PoisonRefused,
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/requestreport.h
@@ -29,6 +29,12 @@
 /// Counts and logs that an upstream crashed while it ran a request.
 void logPoisonSuspected(ForwardingState &state, const LostRun &run);
 
+/// Counts and logs that an upstream says that it leaves, or that it wants no requests for a while.
+void logUpstreamLeaving(ForwardingState &state, const Request &request,
+                        const kernel::UpstreamId &upstream);
+void logUpstreamRests(ForwardingState &state, const Request &request,
+                      const kernel::UpstreamId &upstream);
+
 /// Logs that a request is not sent for the crashes that it was at.
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -42,6 +42,13 @@
                             "Requests that ran at an upstream when it crashed", {});
 }
 
+metrics::Counter &ForwardingMetrics::notices(std::string_view what)
+{
+    return registry.counter("acaciasail_upstream_notices_total",
+                            "What upstreams said of themselves in their answers",
+                            { { "what", std::string(what) } });
+}
+
 metrics::TimeHistogram &ForwardingMetrics::firstByte(const std::string &kind)
 {
     return registry.histogram("acaciasail_first_byte_seconds",
@@ -91,6 +98,22 @@
     return reachable ? candidates : candidatesOf(state.directory, service, VersionChoice::Any);
 }
 
+std::optional<kernel::Duration> restOf(const ForwardingState &state,
+                                       const kernel::ServiceName &service)
+{
+    const kernel::Instant now = state.scheduler.now();
+    std::optional<kernel::Duration> shortest;
+    for (const Upstream *upstream : candidatesOf(state.directory, service, VersionChoice::Any)) {
+        const auto record = state.records.find(upstream->id);
+        if (record == state.records.end() || record->second.notices.leavingSince
+            || record->second.notices.restUntil <= now)
+            continue;
+        const kernel::Duration rest = record->second.notices.restUntil - now;
+        shortest = std::min(shortest.value_or(rest), rest);
+    }
+    return shortest;
+}
+
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout)
 {
     std::pair<int, int> counts{ 0, 0 };
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -39,6 +39,8 @@
     kernel::DataCentreId dataCentre;
     RetryBounds retries;
     ModelRules models;
+    /// Time for which an upstream that leaves goes on serving.
+    kernel::Duration leaveTime = std::chrono::seconds(2);
     /// Longest wait for a connection to an upstream.
     kernel::Duration connectTimeout = std::chrono::milliseconds(300);
 };
@@ -52,6 +54,7 @@
     metrics::Counter &attempts(std::string_view outcome);
     metrics::Counter &refusals(std::string_view reason);
     metrics::Counter &crashes();
+    metrics::Counter &notices(std::string_view what);
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &whole(const std::string &kind);
 };
@@ -105,6 +108,11 @@
                                                   const kernel::ServiceName &service,
                                                   VersionChoice version);
 
+/// Time until the first upstream of a service that only rests takes requests again; none where none
+/// rests.
+std::optional<kernel::Duration> restOf(const ForwardingState &state,
+                                       const kernel::ServiceName &service);
+
 /// The ready upstreams of a roll-out's service: those of its target, and the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -227,6 +227,12 @@
     /// The body was changed on its way.
     bool encoded = false;
     bool events = false;
+    /// The upstream says that it leaves.
+    bool leaving = false;
+    /// The upstream, which turned the request away, wants none for this time.
+    std::optional<kernel::Duration> rest;
+    /// It asked for rest by a text that is no time.
+    bool restUnreadable = false;
     /// The model's own opinion of its answer, 0 to 100.
     std::optional<int> confidence;
     /// Headers for the caller.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -136,9 +136,13 @@
         if (query.exclude != nullptr && query.exclude->contains(upstream->id))
             continue;
         const UpstreamRecord &record = recordOf(records, *upstream);
+        const Openness openness = opennessOf(record.notices, query.now);
+        if (openness == Openness::Closed)
+            continue;
         // One that comes back gets a single request until that has a good answer.
         const bool onTrial = record.ejections > 0 && record.inFlight > 0;
-        const bool avoid = record.unreachable || record.avoidUntil > query.now || onTrial;
+        const bool avoid = record.unreachable || record.avoidUntil > query.now || onTrial
+                           || openness == Openness::LastResort;
         (avoid ? avoided : open).push_back(upstream);
     }
     if (open.empty()) {
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -8,6 +8,7 @@
 
 #include "forwarding/internal/lanes.h"
 #include "forwarding/internal/types.h"
+#include "forwarding/internal/upstreamnotices.h"
 
 namespace acaciasail::forwarding {
 
@@ -30,6 +31,7 @@
     int failedProbes = 0;
     /// Gets work only when no other can take it.
     kernel::Instant avoidUntil{};
+    UpstreamNotices notices;
     /// Start of the process that the figures are about.
     std::int64_t startedAtMs = 0;
 };
@@ -74,7 +76,8 @@
     ChoiceReason reason = ChoiceReason::None;
 };
 
-/// Chooses among the candidates; avoided ones only where no other is left, excluded ones never.
+/// Chooses among the candidates; avoided ones only where no other is left, excluded ones and those
+/// that are closed by their own notices never.
 UpstreamChoice chooseUpstream(const std::vector<const Upstream *> &candidates,
                               const UpstreamRecords &records, const UpstreamQuery &query,
                               kernel::Random &random);
--- a/src/forwarding/tests/fakes.cpp
+++ b/src/forwarding/tests/fakes.cpp
@@ -146,6 +146,9 @@
         result.proven = http::findHeader(head.headers, "proof").has_value();
         result.encoded = http::findHeader(head.headers, "content-encoding").has_value();
         result.events = http::findHeader(head.headers, "events").has_value();
+        result.leaving = http::findHeader(head.headers, "leaving").has_value();
+        if (const auto rest = http::findHeader(head.headers, "rest"))
+            result.rest = std::chrono::seconds(std::stoi(std::string(*rest)));
         if (const auto confidence = http::findHeader(head.headers, "confidence"))
             result.confidence = std::stoi(std::string(*confidence));
         return result;
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -69,6 +69,8 @@
         "A request is refused because it crashed its upstreams; fields: fingerprint, crashes, own ones." },
     EventInfo{ EventId::PoisonReported, "PoisonReported", EventLevel::Info,
         "Another daemon told of crashed runs; fields: from whom, its requests, how many are refused now." },
+    EventInfo{ EventId::UpstreamRests, "UpstreamRests", EventLevel::Info,
+        "An upstream that turned a request away wants none for a while; fields: upstream, rest_ms." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -46,6 +46,7 @@
     PoisonSuspected = 3206,
     PoisonRefused = 3207,
     PoisonReported = 3208,
+    UpstreamRests = 3209,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
