--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -237,7 +237,9 @@
 void World::killRunner(std::size_t index)
 {
     noteUnplanned("runner killed", lapseTime);
-    endRunner(m_runners[index]->id);
+    // The runner's own text goes with it.
+    const std::string id = m_runners[index]->id;
+    endRunner(id);
 }
 
 // The runner can't go within its own call.
@@ -249,7 +251,7 @@
         m_onRunnerCrash(request.id, request.body);
 }
 
-void World::endRunner(std::string id)
+void World::endRunner(const std::string &id)
 {
     const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
     if (found == m_runners.end())
--- a/soak/world.h
+++ b/soak/world.h
@@ -117,7 +117,7 @@
     void registerRunner(const RunnerPlace &runner);
     void removeRunner(const std::string &id);
     void onRunnerCrash(const std::string &id, const platform::testing::SeenRequest &request);
-    void endRunner(std::string id);
+    void endRunner(const std::string &id);
     void countRuns(const RunnerPlace &runner);
     void sampleTotals();
 
--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -60,7 +60,7 @@
     const auto together = std::ranges::count_if(evidence.gone, [&](const auto &item) {
         return std::chrono::abs(item.second.since - *run.goneAt) <= sameReasonTime;
     });
-    const int explained = countCrashes(evidence, run.fingerprint);
+    const std::ptrdiff_t explained = countCrashes(evidence, run.fingerprint);
     return together >= manyUpstreams && 2 * explained < together;
 }
 
