Soak: the watch on crashed runners ends with its owner; a function that nobody called goes

Cause: found in the read-through: a crashing request that was still on its way when its sender was gone called into it. Not seen in a run. stop() was called by nobody. Change: the destructor takes the function back.

--- a/soak/crashingrequests.cpp
+++ b/soak/crashingrequests.cpp
@@ -30,6 +30,12 @@
     next();
 }
 
+// A request that is on its way may crash its runner later.
+CrashingRequests::~CrashingRequests()
+{
+    m_world.whenRunnerCrashes({});
+}
+
 void CrashingRequests::begin()
 {
     constexpr const char *paths[] = { "/desk/x", "/look/x", "/chat/x" };
--- a/soak/crashingrequests.h
+++ b/soak/crashingrequests.h
@@ -10,12 +10,10 @@
 {
 public:
     CrashingRequests(http::EventLoop &loop, World &world, kernel::Random random);
+    ~CrashingRequests();
     CrashingRequests(const CrashingRequests &) = delete;
     CrashingRequests &operator=(const CrashingRequests &) = delete;
 
-    /// Asks nothing more.
-    void stop() { m_next.cancel(); }
-
 private:
     // One request that comes again and again with new ids.
     struct Crasher
