--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -269,7 +269,10 @@
     const bool replaced = head.wrongUpstream
                           || (known != m_state.directory.upstreams.end()
                               && processIdOf(known->second.entry) != m_attempt->process);
-    if (replaced || !(head.leaving || head.cooldown || head.cooldownUnparsable))
+    if (replaced)
+        return;
+    recordNamedLimit(head);
+    if (!(head.leaving || head.cooldown || head.cooldownUnparsable))
         return;
     UpstreamNotices &notices = m_state.records[m_attempt->upstream].notices;
     if (head.leaving && recordLeaving(notices, now(), m_state.options.leaveTime))
@@ -280,6 +283,21 @@
         logUpstreamCooldown(m_state, m_request, m_attempt->upstream);
 }
 
+void Job::recordNamedLimit(const ResponseHead &head)
+{
+    if (head.limitUnparsable) {
+        logUnparsableLimit(m_state, m_request, m_attempt->upstream);
+        return;
+    }
+    // A response without proof of its origin must not end a limit.
+    if (!head.limitPerSecond && !head.hasProof)
+        return;
+    const LimitChange change = recordLimit(m_state.records[m_attempt->upstream].notices.limit,
+                                           head.limitPerSecond, m_attempt->startedAt, now());
+    if (change != LimitChange::None)
+        logUpstreamLimit(m_state, m_request, m_attempt->upstream, change);
+}
+
 // Drops the response of a small model with low confidence, before any of it was sent to the caller.
 bool Job::escalate()
 {
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -104,6 +104,7 @@
     void finishAttempt(AttemptOutcome outcome);
     // Records the notices that the upstream of the attempt in progress gave in its response.
     void recordNotices(const ResponseHead &head);
+    void recordNamedLimit(const ResponseHead &head);
     // Records an attempt that finished without a response as evidence on crashes.
     void recordPossibleCrash(AttemptOutcome outcome);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/requestreport.cpp
@@ -84,6 +84,27 @@
           { "rest_ms", std::max<std::int64_t>(kernel::toMilliseconds(cooldown), 0) } });
 }
 
+void logUpstreamLimit(ForwardingState &state, const Request &request,
+                      const kernel::UpstreamId &upstream, LimitChange change)
+{
+    state.metrics.notices("limit_" + std::string(toString(change))).add();
+    const std::optional<UpstreamLimit> &limit = state.records[upstream].notices.limit;
+    kernel::logEvent(kernel::EventId::UpstreamLimited,
+                     { { "upstream", upstream },
+                       { "request", request.id },
+                       { "change", toString(change) },
+                       { "per_second", limit ? limit->perSecond : 0 } });
+}
+
+void logUnparsableLimit(ForwardingState &state, const Request &request,
+                        const kernel::UpstreamId &upstream)
+{
+    state.metrics.notices("limit_unparsable").add();
+    kernel::logEvent(
+        kernel::EventId::UpstreamLimited,
+        { { "upstream", upstream }, { "request", request.id }, { "change", "unparsable" } });
+}
+
 void logPoisonRefused(const ForwardingState &state, const Request &request, const RequestPlan &plan)
 {
     kernel::logEvent(kernel::EventId::PoisonRefused,
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/requestreport.h
@@ -36,6 +36,13 @@
 void logUpstreamCooldown(ForwardingState &state, const Request &request,
                          const kernel::UpstreamId &upstream);
 
+/// Counts and logs what a response changed in the upstream's rate limit, or that the limit could
+/// not be parsed.
+void logUpstreamLimit(ForwardingState &state, const Request &request,
+                      const kernel::UpstreamId &upstream, LimitChange change);
+void logUnparsableLimit(ForwardingState &state, const Request &request,
+                        const kernel::UpstreamId &upstream);
+
 /// Logs that a request is refused because upstreams crashed while they ran it.
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -248,6 +248,10 @@
     std::optional<kernel::Duration> cooldown;
     /// The upstream asked for a cooldown, but the value could not be parsed as a time.
     bool cooldownUnparsable = false;
+    /// Rate limit that the upstream names: requests per second from all routers together.
+    std::optional<double> limitPerSecond;
+    /// The upstream names a rate limit, but the value could not be parsed.
+    bool limitUnparsable = false;
     /// Confidence of the model in its own response, 0 to 100.
     std::optional<int> confidence;
     /// Headers to pass on to the caller.
--- a/src/forwarding/internal/upstreamnotices.h
+++ b/src/forwarding/internal/upstreamnotices.h
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "forwarding/internal/upstreamlimit.h"
 #include "kernel/kernel.h"
 
 namespace acaciasail::forwarding {
@@ -16,6 +17,7 @@
     kernel::Instant unavailableFrom{};
     /// End of the cooldown that the upstream asked for.
     kernel::Instant cooldownUntil{};
+    std::optional<UpstreamLimit> limit;
 };
 
 /// States whether an upstream may get new requests.
--- a/src/forwarding/tests/fakes.cpp
+++ b/src/forwarding/tests/fakes.cpp
@@ -149,6 +149,8 @@
         result.leaving = http::findHeader(head.headers, "leaving").has_value();
         if (const auto cooldown = http::findHeader(head.headers, "rest"))
             result.cooldown = std::chrono::seconds(std::stoi(std::string(*cooldown)));
+        if (const auto limit = http::findHeader(head.headers, "limit"))
+            result.limitPerSecond = std::stod(std::string(*limit));
         if (const auto confidence = http::findHeader(head.headers, "confidence"))
             result.confidence = std::stoi(std::string(*confidence));
         return result;
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -71,6 +71,8 @@
         "Another daemon told of crashed runs; fields: from whom, its requests, how many are refused now." },
     EventInfo{ EventId::UpstreamRests, "UpstreamRests", EventLevel::Info,
         "An upstream that turned a request away wants none for a while; fields: upstream, rest_ms." },
+    EventInfo{ EventId::UpstreamLimited, "UpstreamLimited", EventLevel::Info,
+        "An upstream named, changed or ended its rate limit; fields: upstream, change, per_second." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -47,6 +47,7 @@
     PoisonRefused = 3207,
     PoisonReported = 3208,
     UpstreamRests = 3209,
+    UpstreamLimited = 3210,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
