Upstreams' rate limits: the routers divide them and keep them together

Cause: nothing read the limit. Reading it alone would not do: it binds all routers together, and a router knew of no other.

Routers report named and ended limits in the store (kind limitreports), as heartbeats only while a limit is in force, and use a share only while they see their own reports. Without the store all together use half of the limit. An upstream whose interval isn't over is left out of the choice for every attempt; where none is left the caller is refused at once, with a Retry-After that follows from the limits. An answer is no longer dropped for a larger model, nor a silent one abandoned, where no upstream may take the next attempt.

Tests: a fleet with manual time (37 routers, limits from 0 to 20, restarts, the store away, routers that only hear or are only heard, dead routers, ended limits) and four tests through sockets.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -67,6 +67,10 @@
           };
     callbacks.shareCrashEvidence
         = [this](const poison::PoisonEvidenceSet &own) { m_adapter.shareCrashEvidence(own); };
+    callbacks.publishLimitReport
+        = [this](const forwarding::LimitReport &report) { m_adapter.publishLimitReport(report); };
+    callbacks.removeLimitReport
+        = [this](const kernel::VmId &vm) { m_adapter.removeLimitReport(vm); };
     callbacks.onConfiguration = [this](const forwarding::Configuration &configuration) {
         if (m_callerServer)
             m_callerServer->setLimits(configuration.limits.maxBodyBytes,
@@ -123,6 +127,11 @@
                        return static_cast<double>(
                            forwarding::countRefusedRequests(m_forwarder.state().crashes));
                    });
+    registry.gauge("acaciasail_limited_upstreams",
+                   "Upstreams to which the router sends at a limited rate", [this] {
+                       return static_cast<double>(
+                           forwarding::countLimitedUpstreams(m_forwarder.state()));
+                   });
     registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
                    [this] { return static_cast<double>(m_adapter.storeCalls()); });
     registry.gauge("acaciasail_upstream_connections_opened",
--- a/src/forwarding/internal/engineload.h
+++ b/src/forwarding/internal/engineload.h
@@ -21,6 +21,8 @@
     std::int64_t memoryTotal = 0;
     /// The report states that the engine is shutting down.
     bool leaving = false;
+    /// Rate limit that the report's response names: requests per second from all routers together.
+    std::optional<double> limitPerSecond;
 };
 
 /// Queries an engine for its load; destroying the result cancels the query. Errors are those of
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/internal/requestlimits.h"
 #include "forwarding/internal/requestreport.h"
 
 namespace acaciasail::forwarding {
@@ -10,6 +11,8 @@
 namespace {
 
 constexpr kernel::Duration tickInterval = std::chrono::milliseconds(100);
+// Interval at which the shares of limited upstreams are computed anew.
+constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
 // Routers request the same step one after the other, so that usually only one of them writes.
@@ -63,8 +66,12 @@
     , m_connect(std::move(callbacks.connect))
     , m_writeRollout(std::move(callbacks.writeRollout))
     , m_shareCrashes(std::move(callbacks.shareCrashEvidence))
+    , m_publishLimitReport(std::move(callbacks.publishLimitReport))
+    , m_removeLimitReport(std::move(callbacks.removeLimitReport))
     , m_onConfiguration(std::move(callbacks.onConfiguration))
 {
+    m_state.limitSharing
+        = makeLimitSharing(m_state.options.vm, m_state.random(), m_publishLimitReport != nullptr);
     armTick();
 }
 
@@ -206,10 +213,48 @@
         logUpstream(id, DirectoryChange::Removed, nullptr);
     probeUnreachable();
     reviewCrashes();
+    reviewLimits();
     reviewRollouts();
     armTick();
 }
 
+void Forwarder::reviewLimits()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    LimitSharing &sharing = m_state.limitSharing;
+    if (m_publishLimitReport) {
+        for (const kernel::VmId &vm : expireRouters(sharing, now))
+            m_removeLimitReport(vm);
+        if (const auto report = takeDueReport(sharing, namedLimits(m_state), now))
+            m_publishLimitReport(*report);
+    }
+    if (now - m_limitsAppliedAt < limitsApplyInterval)
+        return;
+    m_limitsAppliedAt = now;
+    applyLimits(m_state);
+}
+
+void Forwarder::setLimitReports(const std::map<kernel::VmId, LimitReport> &reports)
+{
+    onLimitsEnded(replaceReports(m_state.limitSharing, reports, m_state.scheduler.now()));
+}
+
+void Forwarder::setLimitReport(const kernel::VmId &vm, const LimitReport &report)
+{
+    onLimitsEnded(recordReport(m_state.limitSharing, vm, report, m_state.scheduler.now()));
+}
+
+void Forwarder::dropLimitReport(const kernel::VmId &vm)
+{
+    removeReport(m_state.limitSharing, vm);
+}
+
+void Forwarder::onLimitsEnded(const std::vector<kernel::UpstreamId> &processes)
+{
+    endNamedLimits(m_state, processes);
+    applyLimits(m_state);
+}
+
 void Forwarder::reviewCrashes()
 {
     const kernel::Instant now = m_state.scheduler.now();
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -35,6 +35,10 @@
     RolloutWriter writeRollout;
     /// May be empty: each router then uses only its own evidence on crashes.
     CrashSharer shareCrashEvidence;
+    /// May be empty: this router then acts as if it were the only one.
+    LimitReportPublisher publishLimitReport;
+    /// May be empty if `publishLimitReport` is.
+    LimitReportRemover removeLimitReport;
     /// Called when a configuration comes into force.
     std::function<void(const Configuration &)> onConfiguration;
 };
@@ -65,6 +69,13 @@
     /// restarted.
     void restoreCrashEvidence(const poison::PoisonEvidenceSet &restored);
 
+    /// Replaces the routers' reports on rate limits by a complete list, which includes this
+    /// router's own report if it has been published.
+    void setLimitReports(const std::map<kernel::VmId, LimitReport> &reports);
+    /// Records one router's report on rate limits.
+    void setLimitReport(const kernel::VmId &vm, const LimitReport &report);
+    void dropLimitReport(const kernel::VmId &vm);
+
     /// Refuses new requests that might still run at `end`; requests in progress continue.
     /// `onlyReadyRouter` tells that callers can reach no other router until this one is back.
     void setExitDeadline(kernel::Instant end, bool onlyReadyRouter);
@@ -84,6 +95,8 @@
     void reviewRollout(Rollout &rollout);
     bool isRejectedByDoubts(const Rollout &rollout) const;
     void reviewCrashes();
+    void reviewLimits();
+    void onLimitsEnded(const std::vector<kernel::UpstreamId> &processes);
     void endCrashingRequests();
     std::vector<std::shared_ptr<Job>> copyJobs() const;
     void probeUnreachable();
@@ -102,6 +115,9 @@
     std::map<kernel::DataCentreId, UnreachableUpstreams> m_unreachableByDataCentre;
     RolloutWriter m_writeRollout;
     CrashSharer m_shareCrashes;
+    LimitReportPublisher m_publishLimitReport;
+    LimitReportRemover m_removeLimitReport;
+    kernel::Instant m_limitsAppliedAt{};
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
     std::map<kernel::ServiceName, kernel::Instant> m_rolloutWriteDueAt;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "forwarding/internal/requestlimits.h"
 #include "forwarding/internal/requestreport.h"
 
 namespace acaciasail::forwarding {
@@ -140,6 +141,7 @@
     query.exclude = &m_triedUpstreams;
     auto choices = chooseUpstreams(candidates, m_state.records, query,
                                    enginesToQuery(candidates.size()), m_state.random);
+    removeLimitedFromLoadQueries(choices);
     if (choices.empty() && !m_triedUpstreams.empty()) {
         // All candidates were tried; an upstream that refused the request, or whose connection
         // failed, may accept the request now.
@@ -149,6 +151,31 @@
     return choices;
 }
 
+// A load query counts towards a rate limit as well, so limited upstreams are not queried.
+void Job::removeLimitedFromLoadQueries(std::vector<UpstreamChoice> &choices) const
+{
+    const auto isLimited = [&](const UpstreamChoice &choice) {
+        const auto record = m_state.records.find(choice.upstream->id);
+        return record != m_state.records.end() && record->second.notices.pace;
+    };
+    if (choices.empty())
+        return;
+    if (isLimited(choices.front()))
+        choices.resize(1);
+    else
+        std::erase_if(choices, isLimited);
+}
+
+bool Job::isAnyUpstreamAvailable() const
+{
+    const auto candidates = reachableCandidates(m_state, m_plan.service, versionForSession());
+    return std::ranges::any_of(candidates, [&](const Upstream *upstream) {
+        const auto record = m_state.records.find(upstream->id);
+        return record == m_state.records.end()
+               || availabilityOf(record->second.notices, now()) != Availability::Unavailable;
+    });
+}
+
 void Job::startAttempt(const UpstreamChoice &choice)
 {
     if (crashesUpstreams(m_state.crashes, m_plan.fingerprint)) {
@@ -209,7 +236,10 @@
     m_attempt = std::move(attempt);
     m_triedUpstreams.insert(upstream.id);
     m_lastUpstream = upstream.id.str();
-    recordStart(m_state.records[upstream.id], m_attempt->work);
+    UpstreamRecord &record = m_state.records[upstream.id];
+    recordStart(record, m_attempt->work);
+    if (record.notices.pace)
+        recordPacedRequest(*record.notices.pace, now());
     m_splitter.reset();
     http::ClientHandlers handlers;
     handlers.onSent = [this] { onSent(); };
@@ -292,10 +322,26 @@
     // A response without proof of its origin must not end a limit.
     if (!head.limitPerSecond && !head.hasProof)
         return;
-    const LimitChange change = recordLimit(m_state.records[m_attempt->upstream].notices.limit,
-                                           head.limitPerSecond, m_attempt->startedAt, now());
-    if (change != LimitChange::None)
-        logUpstreamLimit(m_state, m_request, m_attempt->upstream, change);
+    const auto known = m_state.directory.upstreams.find(m_attempt->upstream);
+    if (known != m_state.directory.upstreams.end())
+        updateLimit(known->second.entry, head.limitPerSecond, m_attempt->startedAt);
+}
+
+// Updates the limit of an upstream from its response to a request that was sent at `sentAt`.
+void Job::updateLimit(const Upstream &upstream, std::optional<double> perSecond,
+                      kernel::Instant sentAt)
+{
+    const LimitChange change
+        = recordLimit(m_state.records[upstream.id].notices, perSecond, sentAt, now());
+    if (change == LimitChange::None)
+        return;
+    logUpstreamLimit(m_state, m_request, upstream.id, change);
+    if (change == LimitChange::Ended) {
+        const kernel::UpstreamId process = processIdOf(upstream);
+        m_state.limitSharing.ended[process] = now();
+        forgetReportedLimit(m_state.limitSharing, process);
+    }
+    applyLimit(m_state, upstream, std::nullopt);
 }
 
 // Drops the response of a small model with low confidence, before any of it was sent to the caller.
@@ -308,7 +354,7 @@
         = escalateTo(m_plan.route, m_state.options.models, *m_request.work, m_model,
                      m_attempt->head->confidence, m_attempts.maxAttempts - m_attempts.sent,
                      objectiveEnd - now(), saturation(m_state.lateRequestRates[m_plan.service]));
-    if (larger.empty()
+    if (larger.empty() || !isAnyUpstreamAvailable()
         || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
         return false;
     kernel::logEvent(kernel::EventId::CascadeEscalated,
@@ -616,7 +662,7 @@
     if (status == unavailable) {
         const double seconds
             = retryAfterMinSeconds + retryAfterSpreadSeconds * kernel::uniform01(m_state.random);
-        retryAfter = remainingCooldown(m_state, m_plan.service).value_or(kernel::Duration{})
+        retryAfter = reserveRetryTime(m_state, m_plan.service).value_or(kernel::Duration{})
                      + kernel::fromSeconds(seconds);
     }
     refuse(status, outcome, retryAfter);
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -74,9 +74,11 @@
     kernel::Duration currentInactivityTimeout() const;
 
     VersionChoice versionForSession() const;
+    bool isAnyUpstreamAvailable() const;
     void startNextAttempt();
     std::vector<UpstreamChoice> selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                 UpstreamQuery query);
+    void removeLimitedFromLoadQueries(std::vector<UpstreamChoice> &choices) const;
     // Returns the number of candidate engines to query for their load; 1 if no engine is to be
     // queried.
     std::size_t enginesToQuery(std::size_t candidates) const;
@@ -105,6 +107,8 @@
     // Records the notices that the upstream of the attempt in progress gave in its response.
     void recordNotices(const ResponseHead &head);
     void recordNamedLimit(const ResponseHead &head);
+    void updateLimit(const Upstream &upstream, std::optional<double> perSecond,
+                     kernel::Instant sentAt);
     // Records an attempt that finished without a response as evidence on crashes.
     void recordPossibleCrash(AttemptOutcome outcome);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
@@ -139,6 +143,7 @@
     std::optional<Attempt> m_attempt;
     std::vector<LoadQuery> m_loadQueries;
     std::size_t m_finishedLoadQueries = 0;
+    kernel::Instant m_loadQueryStartedAt{};
     std::unique_ptr<http::Exchange> m_loadExchange;
     std::unique_ptr<http::Exchange> m_exchange;
     EventSplitter m_splitter;
--- a/src/forwarding/internal/jobwaiting.cpp
+++ b/src/forwarding/internal/jobwaiting.cpp
@@ -50,6 +50,7 @@
 
 void Job::queryNextLoad()
 {
+    m_loadQueryStartedAt = now();
     m_loadExchange = m_state.readLoad(
         m_loadQueries[m_finishedLoadQueries].upstream.endpoint, connectTimeout(m_state),
         [this](const kernel::Completion<EngineLoad> &outcome) { onLoad(outcome); });
@@ -66,6 +67,8 @@
         UpstreamNotices &notices = m_state.records[query.upstream.id].notices;
         if (query.load->leaving && recordLeaving(notices, now(), m_state.options.leaveTime))
             logUpstreamLeaving(m_state, m_request, query.upstream.id);
+        if (query.load->limitPerSecond)
+            updateLimit(query.upstream, query.load->limitPerSecond, m_loadQueryStartedAt);
         AverageLoad &average = m_state.averageLoads[m_plan.service];
         hasCapacity = hasSpareCapacity(average, *query.load);
         recordLoad(average, *query.load);
@@ -129,10 +132,12 @@
     retryElsewhere("silent");
 }
 
-// If the budget allows no retry, the request keeps waiting, which is better than to end it.
+// If no upstream may get a retry or the budget allows none, the request keeps waiting, which is
+// better than to end it.
 void Job::retryElsewhere(std::string_view detail)
 {
-    if (!takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
+    if (!isAnyUpstreamAvailable()
+        || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
         armInactivityTimer(currentInactivityTimeout());
         return;
     }
--- /dev/null
+++ b/src/forwarding/internal/requestlimits.cpp
@@ -0,0 +1,129 @@
+#include "forwarding/internal/requestlimits.h"
+
+#include <algorithm>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// Upper bound of the time that a refused caller is told to wait because of rate limits. Some of the
+// callers that were told to come back do not, so later times would be too pessimistic.
+constexpr kernel::Duration maxRetryTime = std::chrono::seconds(10);
+
+void logPace(const ForwardingState &state, const kernel::UpstreamId &upstream, double limit,
+             double pace)
+{
+    kernel::logEvent(kernel::EventId::UpstreamLimited,
+                     { { "upstream", upstream },
+                       { "change", "pace" },
+                       { "per_second", limit },
+                       { "pace_per_second", pace },
+                       { "routers", state.limitSharing.routers.size() },
+                       { "lease", holdsLease(state.limitSharing, state.scheduler.now()) } });
+}
+
+// Returns the limit that applies to an upstream: the one named to this router, or the reported one.
+std::optional<double> limitInForce(const UpstreamNotices &notices, std::optional<double> reported)
+{
+    if (notices.limit)
+        return notices.limit->perSecond;
+    return reported;
+}
+
+// Returns the number of requests per second that limited upstreams of a service accept from each
+// router on average.
+double averageLimitedRate(const ForwardingState &state, const kernel::ServiceName &service)
+{
+    double rate = 0;
+    for (const Upstream *upstream :
+         candidateUpstreams(state.directory, service, VersionChoice::Any)) {
+        const auto record = state.records.find(upstream->id);
+        if (record != state.records.end() && record->second.notices.pace)
+            rate += averageShare(state.limitSharing, record->second.notices.pace->limit);
+    }
+    return rate;
+}
+
+} // namespace
+
+std::map<kernel::UpstreamId, double> namedLimits(const ForwardingState &state)
+{
+    std::map<kernel::UpstreamId, double> limits;
+    for (const auto &[id, record] : state.records) {
+        if (!record.notices.limit)
+            continue;
+        const auto known = state.directory.upstreams.find(id);
+        if (known != state.directory.upstreams.end())
+            limits[processIdOf(known->second.entry)] = record.notices.limit->perSecond;
+    }
+    return limits;
+}
+
+void applyLimit(ForwardingState &state, const Upstream &upstream, std::optional<double> reported)
+{
+    const auto found = state.records.find(upstream.id);
+    if (found == state.records.end())
+        return;
+    UpstreamNotices &notices = found->second.notices;
+    const std::optional<double> limit = limitInForce(notices, reported);
+    if (!limit) {
+        if (notices.pace)
+            logPace(state, upstream.id, 0, 0);
+        notices.pace.reset();
+        return;
+    }
+    const kernel::Instant now = state.scheduler.now();
+    const double share = limitShare(state.limitSharing, processIdOf(upstream), *limit, now);
+    if (setPace(notices.pace, share, now, state.random))
+        logPace(state, upstream.id, *limit, share);
+    notices.pace->limit = *limit;
+    state.limitSharing.limitInForce = true;
+}
+
+void applyLimits(ForwardingState &state)
+{
+    const auto reported = reportedLimits(state.limitSharing);
+    state.limitSharing.limitInForce = false;
+    for (const auto &[id, known] : state.directory.upstreams) {
+        const auto limit = reported.find(processIdOf(known.entry));
+        applyLimit(state, known.entry,
+                   limit == reported.end() ? std::nullopt : std::optional(limit->second));
+    }
+}
+
+std::size_t countLimitedUpstreams(const ForwardingState &state)
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state.records, [](const auto &item) { return item.second.notices.pace.has_value(); }));
+}
+
+void endNamedLimits(ForwardingState &state, const std::vector<kernel::UpstreamId> &processes)
+{
+    for (const kernel::UpstreamId &process : processes) {
+        forgetReportedLimit(state.limitSharing, process);
+        for (const auto &[id, known] : state.directory.upstreams) {
+            const auto record = state.records.find(id);
+            if (record != state.records.end() && processIdOf(known.entry) == process)
+                record->second.notices.limit.reset();
+        }
+    }
+}
+
+std::optional<kernel::Duration> reserveRetryTime(ForwardingState &state,
+                                                 const kernel::ServiceName &service)
+{
+    const std::optional<kernel::Duration> cooldown = remainingCooldown(state, service);
+    const double rate = averageLimitedRate(state, service);
+    if (rate <= 0)
+        return cooldown;
+    const kernel::Instant now = state.scheduler.now();
+    kernel::Instant &reservedUntil = state.retriesReservedUntil[service];
+    const kernel::Instant next = std::min(
+        std::max(reservedUntil, now) + kernel::fromSeconds(1 / rate), now + maxRetryTime);
+    if (cooldown && now + *cooldown < next)
+        return cooldown;
+    reservedUntil = next;
+    return next - now;
+}
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -10,6 +10,7 @@
 #include "forwarding/internal/engineload.h"
 #include "forwarding/internal/inactivitytimeout.h"
 #include "forwarding/internal/lanes.h"
+#include "forwarding/internal/limitsharing.h"
 #include "forwarding/internal/modelchoice.h"
 #include "forwarding/internal/retrybudget.h"
 #include "forwarding/internal/rolloutplan.h"
@@ -94,6 +95,9 @@
     std::map<kernel::ServiceName, double> failureRates;
     std::map<kernel::ServiceName, RolloutEvidence> rolloutEvidence;
     CrashEvidence crashes;
+    LimitSharing limitSharing;
+    /// Time up to which refused callers were told to come back, because of rate limits.
+    std::map<kernel::ServiceName, kernel::Instant> retriesReservedUntil;
     /// Upstreams that run suspected poison requests, with one entry per request. A request is
     /// suspected if an upstream crashed earlier while running it.
     std::multiset<kernel::UpstreamId> upstreamsWithSuspects;
--- a/src/forwarding/internal/upstreamlimit.cpp
+++ b/src/forwarding/internal/upstreamlimit.cpp
@@ -1,7 +1,21 @@
 #include "forwarding/internal/upstreamlimit.h"
 
+#include <algorithm>
+
 namespace acaciasail::forwarding {
 
+namespace {
+
+// A request that is sent late may bring the next one forward by this fraction of the interval.
+constexpr double maxCatchUp = 0.5;
+
+kernel::Duration intervalOf(double perSecond)
+{
+    return kernel::fromSeconds(1 / perSecond);
+}
+
+} // namespace
+
 std::string_view toString(LimitChange change)
 {
     switch (change) {
@@ -35,4 +49,24 @@
     return changed ? LimitChange::Changed : LimitChange::None;
 }
 
+bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
+             kernel::Random &random)
+{
+    if (pace && pace->perSecond == perSecond)
+        return false;
+    const kernel::Instant since = pace ? pace->since : now;
+    pace = RequestPace{ .perSecond = perSecond, .since = since };
+    if (perSecond > 0)
+        pace->nextAt = now + kernel::scaled(intervalOf(perSecond), kernel::uniform01(random));
+    return true;
+}
+
+void recordPacedRequest(RequestPace &pace, kernel::Instant now)
+{
+    if (pace.perSecond <= 0)
+        return;
+    const kernel::Duration interval = intervalOf(pace.perSecond);
+    pace.nextAt = std::max(pace.nextAt, now - kernel::scaled(interval, maxCatchUp)) + interval;
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/upstreamlimit.h
+++ b/src/forwarding/internal/upstreamlimit.h
@@ -32,4 +32,26 @@
 LimitChange recordLimit(std::optional<UpstreamLimit> &limit, std::optional<double> perSecond,
                         kernel::Instant sentAt, kernel::Instant now);
 
+/// Pace of this router's requests to an upstream with a rate limit.
+struct RequestPace
+{
+    /// 0 if this router may send no requests.
+    double perSecond = 0;
+    /// The limit from which the pace was derived, in requests per second from all routers together.
+    double limit = 0;
+    /// Time since which a limit has been known.
+    kernel::Instant since{};
+    /// Time from which the next request may be sent.
+    kernel::Instant nextAt = kernel::Instant::max();
+};
+
+/// Sets the pace in requests per second. If it changes, the next request may be sent at a random
+/// time within one interval, so that routers whose paces change together do not send together.
+/// Returns whether the pace changed.
+bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
+             kernel::Random &random);
+
+/// Records that a request is being sent, and schedules the next one.
+void recordPacedRequest(RequestPace &pace, kernel::Instant now);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/upstreamnotices.cpp
+++ b/src/forwarding/internal/upstreamnotices.cpp
@@ -13,14 +13,15 @@
 // The jitter is at most this fraction of the cooldown, and at most this time.
 constexpr double cooldownJitter = 0.1;
 constexpr kernel::Duration maxCooldownJitter = std::chrono::seconds(1);
-// An upstream that shuts down has exited after this time.
-constexpr kernel::Duration maxLeavingTime = std::chrono::minutes(5);
+// An upstream that gave a notice this long ago, and is not registered any more, has exited.
+constexpr kernel::Duration maxNoticeAge = std::chrono::minutes(5);
 
 } // namespace
 
 Availability availabilityOf(const UpstreamNotices &notices, kernel::Instant now)
 {
-    if (now < notices.cooldownUntil)
+    const bool paused = notices.pace && now < notices.pace->nextAt;
+    if (now < notices.cooldownUntil || paused)
         return Availability::Unavailable;
     if (!notices.leavingSince)
         return Availability::Available;
@@ -47,10 +48,20 @@
     notices.cooldownUntil = std::max(notices.cooldownUntil, until);
 }
 
+LimitChange recordLimit(UpstreamNotices &notices, std::optional<double> perSecond,
+                        kernel::Instant sentAt, kernel::Instant now)
+{
+    const bool onlyReported = !notices.limit && notices.pace;
+    if (!perSecond && onlyReported)
+        return sentAt > notices.pace->since ? LimitChange::Ended : LimitChange::None;
+    return recordLimit(notices.limit, perSecond, sentAt, now);
+}
+
 bool hasActiveNotices(const UpstreamNotices &notices, kernel::Instant now)
 {
     return now < notices.cooldownUntil
-           || (notices.leavingSince && now - *notices.leavingSince < maxLeavingTime);
+           || (notices.leavingSince && now - *notices.leavingSince < maxNoticeAge)
+           || (notices.limit && now - notices.limit->namedAt < maxNoticeAge);
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/upstreamnotices.h
+++ b/src/forwarding/internal/upstreamnotices.h
@@ -18,6 +18,8 @@
     /// End of the cooldown that the upstream asked for.
     kernel::Instant cooldownUntil{};
     std::optional<UpstreamLimit> limit;
+    /// Set while a limit is in force, which the upstream named to this router or to another one.
+    std::optional<RequestPace> pace;
 };
 
 /// States whether an upstream may get new requests.
@@ -39,6 +41,11 @@
 void recordCooldown(UpstreamNotices &notices, kernel::Instant now, kernel::Duration requested,
                     kernel::Random &random);
 
+/// Records the limit that the upstream's response to a request that was sent at `sentAt` names, in
+/// requests per second; a response without a limit also ends one that only other routers reported.
+LimitChange recordLimit(UpstreamNotices &notices, std::optional<double> perSecond,
+                        kernel::Instant sentAt, kernel::Instant now);
+
 /// Returns whether one of the notices still applies.
 bool hasActiveNotices(const UpstreamNotices &notices, kernel::Instant now);
 
--- /dev/null
+++ b/src/forwarding/tests/routerfleet.cpp
@@ -0,0 +1,295 @@
+#include "forwarding/tests/routerfleet.h"
+
+#include <algorithm>
+
+namespace acaciasail::forwarding::tests {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr kernel::Duration stepTime = 5ms;
+constexpr kernel::Duration responseTime = 40ms;
+constexpr kernel::Duration watchInterval = 1s;
+constexpr kernel::Duration limitWindow = 4s;
+constexpr double limitFactor = 1.5;
+constexpr int limitSlack = 5;
+
+std::shared_ptr<Configuration> makeConfiguration()
+{
+    auto configuration = std::make_shared<Configuration>();
+    configuration->number = ConfigurationNumber(1);
+    Route route;
+    route.name = RouteName("safe");
+    route.host = "site.example";
+    route.pathPrefix = "/safe/";
+    route.kind = RequestKind::Safe;
+    route.maxAttempts = 3;
+    route.timeout = 5s;
+    route.latencyObjective = 500ms;
+    route.services.push_back({ kernel::ServiceName("plain"), 1 });
+    configuration->routes.push_back(route);
+    configuration->workspaces.push_back({ kernel::WorkspaceId("makers"), std::nullopt });
+    configuration->keys.emplace("key", 0);
+    return configuration;
+}
+
+Upstream makeUpstream(std::size_t number)
+{
+    Upstream upstream;
+    upstream.id = kernel::UpstreamId("u" + std::to_string(number));
+    upstream.service = kernel::ServiceName("plain");
+    upstream.endpoint = { "10.0.0.1", static_cast<unsigned short>(1000 + number) };
+    upstream.version = SoftwareVersion("v1");
+    upstream.slots = 4;
+    upstream.startedAtMs = 1;
+    return upstream;
+}
+
+} // namespace
+
+RouterFleet::RouterFleet(std::size_t routers, std::size_t upstreams, std::uint64_t seed)
+    : m_random(seed)
+    , m_configuration(makeConfiguration())
+{
+    m_clock.advance(100s);
+    for (std::size_t i = 0; i < upstreams; ++i)
+        m_upstreams.push_back({ makeUpstream(i), std::nullopt, {} });
+    for (std::size_t i = 0; i < routers; ++i)
+        m_routers.push_back(std::make_unique<Member>());
+    for (std::size_t i = 0; i < routers; ++i)
+        startRouter(i);
+}
+
+kernel::VmId RouterFleet::vmOf(std::size_t number) const
+{
+    return kernel::VmId("vm-" + std::to_string(number));
+}
+
+ForwarderCallbacks RouterFleet::makeCallbacks(std::size_t number)
+{
+    Member &member = *m_routers[number];
+    ForwarderCallbacks callbacks;
+    callbacks.send = member.http.sender();
+    callbacks.connect = member.http.connector();
+    callbacks.wire = makeTestWire();
+    callbacks.writeRollout = [](const Rollout &, const RolloutStep &) {};
+    callbacks.publishLimitReport
+        = [this, number](const LimitReport &report) { publish(number, report); };
+    callbacks.removeLimitReport = [this](const kernel::VmId &vm) { remove(vm); };
+    return callbacks;
+}
+
+void RouterFleet::startRouter(std::size_t number)
+{
+    Member &member = *m_routers[number];
+    ForwardingOptions options;
+    options.vm = vmOf(number);
+    options.retries = { 0.9, 500, 10s };
+    member.handledSends = member.http.sends.size();
+    member.forwarder = std::make_unique<Forwarder>(m_clock.scheduler(), makeCallbacks(number),
+                                                   options, kernel::Random(m_random()));
+    member.forwarder->setConfiguration(m_configuration, kernel::Revision(1));
+    std::vector<Upstream> entries;
+    for (const FleetUpstream &upstream : m_upstreams)
+        entries.push_back(upstream.entry);
+    member.forwarder->setUpstreams(entries);
+    member.forwarder->setStoreReachable(true);
+    member.listDue = true;
+    member.nextWatchAt = now();
+}
+
+void RouterFleet::killRouter(std::size_t number)
+{
+    Member &member = *m_routers[number];
+    for (std::size_t i = 0; i < member.http.sends.size(); ++i)
+        member.http.sends[i]->cancelled = true;
+    member.forwarder = nullptr;
+}
+
+void RouterFleet::setConnected(std::size_t number, bool writes, bool reads)
+{
+    Member &member = *m_routers[number];
+    // A router lists the reports again after it could not watch them.
+    member.listDue = member.listDue || (reads && !member.reads);
+    member.writes = writes;
+    member.reads = reads;
+}
+
+void RouterFleet::setIdle(std::size_t number, bool idle)
+{
+    m_routers[number]->idle = idle;
+}
+
+void RouterFleet::restartUpstream(std::size_t number)
+{
+    FleetUpstream &upstream = m_upstreams[number];
+    ++upstream.entry.startedAtMs;
+    upstream.limitPerSecond.reset();
+    for (const auto &member : m_routers) {
+        if (member->forwarder)
+            member->forwarder->setUpstream(upstream.entry);
+    }
+}
+
+void RouterFleet::publish(std::size_t number, const LimitReport &report)
+{
+    if (!m_routers[number]->writes)
+        return;
+    ++m_reportWrites;
+    m_store[vmOf(number)] = report;
+    notifyAll(vmOf(number));
+}
+
+void RouterFleet::remove(const kernel::VmId &vm)
+{
+    m_store.erase(vm);
+    notifyAll(vm);
+}
+
+void RouterFleet::notifyAll(const kernel::VmId &vm)
+{
+    for (const auto &member : m_routers)
+        member->unseenChanges.insert(vm);
+}
+
+void RouterFleet::deliverReports(Member &member)
+{
+    if (!member.reads || now() < member.nextWatchAt
+        || (!member.listDue && member.unseenChanges.empty()))
+        return;
+    member.nextWatchAt = now() + watchInterval;
+    const std::set<kernel::VmId> changes = std::exchange(member.unseenChanges, {});
+    if (std::exchange(member.listDue, false)) {
+        member.forwarder->setLimitReports(m_store);
+        return;
+    }
+    for (const kernel::VmId &vm : changes) {
+        const auto stored = m_store.find(vm);
+        if (stored == m_store.end())
+            member.forwarder->dropLimitReport(vm);
+        else
+            member.forwarder->setLimitReport(vm, stored->second);
+    }
+}
+
+void RouterFleet::sendFromCaller()
+{
+    std::vector<Forwarder *> running;
+    for (const auto &member : m_routers) {
+        if (member->forwarder && !member->idle)
+            running.push_back(member->forwarder.get());
+    }
+    if (running.empty())
+        return;
+    Request request;
+    request.id = kernel::RequestId("r" + std::to_string(++m_lastRequestNumber));
+    request.method = "POST";
+    request.host = "site.example";
+    request.target = "/safe/x";
+    request.key = "key";
+    request.body = request.id.str();
+    request.arrived = now();
+    m_openResponders.push_back(std::make_shared<FakeResponder>());
+    running[kernel::uniformBelow(m_random, running.size())]->handle(std::move(request),
+                                                                    m_openResponders.back());
+}
+
+void RouterFleet::receiveRequests(Member &member)
+{
+    for (; member.handledSends < member.http.sends.size(); ++member.handledSends) {
+        const std::shared_ptr<FakeSend> send = member.http.sends[member.handledSends];
+        const std::string id(http::findHeader(send->request.headers, "upstream").value_or(""));
+        const auto upstream = std::ranges::find_if(
+            m_upstreams, [&](const FleetUpstream &one) { return one.entry.id.str() == id; });
+        upstream->arrivals.push_back(now());
+        send->reportSent();
+        m_pendingResponses.push_back({ now() + responseTime, send,
+                                       static_cast<std::size_t>(upstream - m_upstreams.begin()),
+                                       upstream->limitPerSecond });
+    }
+}
+
+void RouterFleet::sendResponses()
+{
+    std::vector<PendingResponse> due;
+    std::erase_if(m_pendingResponses, [&](const PendingResponse &one) {
+        if (one.dueAt > now())
+            return false;
+        due.push_back(one);
+        return true;
+    });
+    for (const PendingResponse &one : due) {
+        if (one.send->cancelled)
+            continue;
+        http::Headers headers{ { "proof", "p" } };
+        if (one.limitPerSecond)
+            headers.push_back({ "limit", std::to_string(*one.limitPerSecond) });
+        const http::ClientHandlers handlers = one.send->handlers;
+        handlers.onHead({ 200, headers });
+        if (!one.send->cancelled)
+            handlers.onEnd(kernel::Done{});
+    }
+}
+
+void RouterFleet::countResponses()
+{
+    std::erase_if(m_openResponders, [&](const std::shared_ptr<FakeResponder> &responder) {
+        if (!responder->ended)
+            return false;
+        if (responder->status == 200)
+            ++m_responses.served;
+        else if (responder->status != 503)
+            ++m_responses.other;
+        else
+            ++m_responses.refused;
+        if (responder->status == 503 && responder->header("retry-after").empty())
+            ++m_responses.refusedWithoutRetryAfter;
+        return true;
+    });
+}
+
+void RouterFleet::run(kernel::Duration time, double requestsPerSecond)
+{
+    const kernel::Instant end = now() + time;
+    const double perStep = requestsPerSecond * kernel::toSeconds(stepTime);
+    double due = kernel::uniform01(m_random);
+    while (now() < end) {
+        for (due += perStep * 2 * kernel::uniform01(m_random); due >= 1; due -= 1)
+            sendFromCaller();
+        for (const auto &member : m_routers) {
+            if (!member->forwarder)
+                continue;
+            receiveRequests(*member);
+            deliverReports(*member);
+        }
+        sendResponses();
+        countResponses();
+        m_clock.advance(stepTime);
+    }
+}
+
+int RouterFleet::arrivals(std::size_t upstream, kernel::Instant from, kernel::Instant to) const
+{
+    return static_cast<int>(
+        std::ranges::count_if(m_upstreams[upstream].arrivals,
+                              [&](kernel::Instant time) { return time >= from && time < to; }));
+}
+
+int RouterFleet::mostArrivals(std::size_t upstream, kernel::Instant from) const
+{
+    int most = 0;
+    for (const kernel::Instant start : m_upstreams[upstream].arrivals) {
+        if (start >= from)
+            most = std::max(most, arrivals(upstream, start, start + limitWindow));
+    }
+    return most;
+}
+
+int RouterFleet::maxArrivals(double limitPerSecond)
+{
+    return static_cast<int>(limitFactor * limitPerSecond * kernel::toSeconds(limitWindow))
+           + limitSlack;
+}
+
+} // namespace acaciasail::forwarding::tests
--- /dev/null
+++ b/src/forwarding/tests/routerfleet.h
@@ -0,0 +1,113 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "forwarding/tests/fakes.h"
+
+namespace acaciasail::forwarding::tests {
+
+/// An upstream of the fleet below. It may name a rate limit, which it does not enforce.
+struct FleetUpstream
+{
+    Upstream entry;
+    std::optional<double> limitPerSecond;
+    /// Arrival times of requests, from all routers.
+    std::vector<kernel::Instant> arrivals;
+};
+
+/// Responses that the callers of the fleet got.
+struct FleetResponses
+{
+    int served = 0;
+    int refused = 0;
+    int refusedWithoutRetryAfter = 0;
+    int other = 0;
+};
+
+/// Several routers with manual time, which share upstreams and a store of reports on rate limits.
+class RouterFleet
+{
+public:
+    RouterFleet(std::size_t routers, std::size_t upstreams, std::uint64_t seed);
+    RouterFleet(const RouterFleet &) = delete;
+    RouterFleet &operator=(const RouterFleet &) = delete;
+
+    /// Sends requests at random times to random running routers, and moves time on.
+    void run(kernel::Duration time, double requestsPerSecond);
+
+    void startRouter(std::size_t number);
+    /// Ends a router at once; its report stays in the store.
+    void killRouter(std::size_t number);
+    /// Sets whether the router's reports reach the store, and whether it sees those of others.
+    void setConnected(std::size_t number, bool writes, bool reads);
+    /// Replaces an upstream's process under the same id.
+    void restartUpstream(std::size_t number);
+    /// Routers that get no requests from callers.
+    void setIdle(std::size_t number, bool idle);
+
+    kernel::Instant now() const { return m_clock.now(); }
+    std::size_t size() const { return m_routers.size(); }
+    std::vector<FleetUpstream> &upstreams() { return m_upstreams; }
+    FleetResponses &responses() { return m_responses; }
+    std::size_t storedReports() const { return m_store.size(); }
+    int reportWrites() const { return m_reportWrites; }
+
+    /// Returns the number of arrivals at an upstream in a span of time.
+    int arrivals(std::size_t upstream, kernel::Instant from, kernel::Instant to) const;
+    /// Returns the largest number of arrivals in a window of four seconds that starts at `from` or
+    /// later.
+    int mostArrivals(std::size_t upstream, kernel::Instant from) const;
+    /// Returns the number of arrivals that a limit allows in such a window.
+    static int maxArrivals(double limitPerSecond);
+
+private:
+    struct Member
+    {
+        FakeHttp http;
+        std::unique_ptr<Forwarder> forwarder;
+        bool writes = true;
+        bool reads = true;
+        bool idle = false;
+        bool listDue = true;
+        std::set<kernel::VmId> unseenChanges;
+        kernel::Instant nextWatchAt{};
+        std::size_t handledSends = 0;
+    };
+    struct PendingResponse
+    {
+        kernel::Instant dueAt{};
+        std::shared_ptr<FakeSend> send;
+        std::size_t upstream = 0;
+        std::optional<double> limitPerSecond;
+    };
+
+    kernel::VmId vmOf(std::size_t number) const;
+    ForwarderCallbacks makeCallbacks(std::size_t number);
+    void publish(std::size_t number, const LimitReport &report);
+    void remove(const kernel::VmId &vm);
+    void notifyAll(const kernel::VmId &vm);
+    void deliverReports(Member &member);
+    void sendFromCaller();
+    void receiveRequests(Member &member);
+    void sendResponses();
+    void countResponses();
+
+    kernel::ManualScheduler m_clock;
+    kernel::Random m_random;
+    std::shared_ptr<Configuration> m_configuration;
+    std::vector<FleetUpstream> m_upstreams;
+    std::vector<std::unique_ptr<Member>> m_routers;
+    std::map<kernel::VmId, LimitReport> m_store;
+    std::vector<PendingResponse> m_pendingResponses;
+    std::vector<std::shared_ptr<FakeResponder>> m_openResponders;
+    FleetResponses m_responses;
+    int m_reportWrites = 0;
+    int m_lastRequestNumber = 0;
+};
+
+} // namespace acaciasail::forwarding::tests
