--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -68,6 +68,19 @@
     return best;
 }
 
+// Returns an upstream whose rate limit would otherwise not be used up by the requests that it gets
+// for other reasons.
+const Upstream *findUnusedLimit(const std::vector<const Upstream *> &candidates,
+                                const UpstreamRecords &records, kernel::Instant now)
+{
+    const auto isUnused = [&](const Upstream *upstream) {
+        const auto &pace = recordOf(records, *upstream).notices.pace;
+        return pace && isPaceBehind(*pace, now);
+    };
+    const auto found = std::ranges::find_if(candidates, isUnused);
+    return found == candidates.end() ? nullptr : *found;
+}
+
 UpstreamChoice chooseByAffinity(const std::vector<const Upstream *> &candidates,
                                 const UpstreamRecords &records, const UpstreamQuery &query,
                                 kernel::Random &random)
@@ -123,6 +136,8 @@
         return "reported_load";
     case ChoiceReason::Near:
         return "near";
+    case ChoiceReason::LimitUnused:
+        return "limit_unused";
     case ChoiceReason::AvoidanceIgnored:
         return "avoided_ignored";
     case ChoiceReason::None:
@@ -157,6 +172,8 @@
                  upstream != nullptr ? ChoiceReason::AvoidanceIgnored : ChoiceReason::None };
     }
     preferred = laneUpstreams(std::move(preferred), query.lane, query.longObjectiveFraction);
+    if (const Upstream *upstream = findUnusedLimit(preferred, records, query.now))
+        return { upstream, ChoiceReason::LimitUnused };
     if (!query.affinity.empty())
         return chooseByAffinity(preferred, records, query, random);
     return chooseNear(preferred, records, query, random);
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -68,6 +68,8 @@
     ReportedLoad,
     /// The upstream is in the router's data centre and has capacity.
     Near,
+    /// The upstream has a rate limit, which is not used up.
+    LimitUnused,
     /// Every remaining candidate is avoided.
     AvoidanceIgnored,
     None,
--- a/src/forwarding/internal/upstreamlimit.cpp
+++ b/src/forwarding/internal/upstreamlimit.cpp
@@ -61,6 +61,12 @@
     return true;
 }
 
+bool isPaceBehind(const RequestPace &pace, kernel::Instant now)
+{
+    return pace.perSecond > 0
+           && now >= pace.nextAt + kernel::scaled(intervalOf(pace.perSecond), maxCatchUp);
+}
+
 void recordPacedRequest(RequestPace &pace, kernel::Instant now)
 {
     if (pace.perSecond <= 0)
--- a/src/forwarding/internal/upstreamlimit.h
+++ b/src/forwarding/internal/upstreamlimit.h
@@ -51,6 +51,10 @@
 bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
              kernel::Random &random);
 
+/// Returns whether the pace falls behind: unless a request is sent now, the time without one is not
+/// made up for.
+bool isPaceBehind(const RequestPace &pace, kernel::Instant now);
+
 /// Records that a request is being sent, and schedules the next one.
 void recordPacedRequest(RequestPace &pace, kernel::Instant now);
 
--- a/src/forwarding/tests/requestlimits_tests.cpp
+++ b/src/forwarding/tests/requestlimits_tests.cpp
@@ -93,6 +93,19 @@
     EXPECT_LE(arrivals, 1.05 * perSecond * 12 * 30);
 }
 
+TEST(RequestLimits, ChosenRouterUsesUpTheLimitOfOneUpstreamAmongMany)
+{
+    constexpr double perSecond = 1.4;
+    RouterFleet fleet(largeFleet, 12, 3);
+    fleet.run(3s, 100);
+    fleet.upstreams()[0].limitPerSecond = perSecond;
+    fleet.run(10s, 100);
+    const kernel::Instant from = fleet.now();
+    fleet.run(30s, 100);
+    EXPECT_GE(fleet.arrivals(0, from, fleet.now()), 0.7 * perSecond * 30);
+    EXPECT_LE(fleet.mostArrivals(0, from), RouterFleet::maxArrivals(perSecond));
+}
+
 TEST(RequestLimits, OtherUpstreamsTakeTheRest)
 {
     RouterFleet fleet(4, 4, 5);
