--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -1,6 +1,7 @@
 #include "faults.h"
 
 #include <algorithm>
+#include <array>
 
 namespace acaciasail::soak {
 
@@ -32,7 +33,7 @@
         if (m_plannedOnly || kernel::uniformBelow(m_random, 3) == 0)
             planned(kernel::uniformBelow(m_random, 6));
         else
-            unplanned(kernel::uniformBelow(m_random, 9));
+            unplanned(kernel::uniformBelow(m_random, 10));
         next();
     });
 }
@@ -89,6 +90,9 @@
     case 7:
         spoilService();
         return;
+    case 8:
+        limitRunner();
+        return;
     default:
         spoilStorePath();
     }
@@ -147,6 +151,14 @@
     }
 }
 
+// The other runners take the rest, so that a limit alone disturbs no request.
+void Faults::limitRunner()
+{
+    static constexpr std::array limits{ "0", "0.5", "1.4", "3" };
+    m_world.limitRunner(anyRunnerIndex(), limits[kernel::uniformBelow(m_random, limits.size())],
+                        between(5s, 12s));
+}
+
 void Faults::mend(const std::string &runner)
 {
     for (const auto &one : m_world.runners()) {
@@ -156,6 +168,7 @@
         good.eventsPerStream = one->standin->behaviour().eventsPerStream;
         good.work = World::workTime();
         good.crashBodyPrefix = crashingBody;
+        good.limitPerSecond = one->standin->behaviour().limitPerSecond;
         one->standin->behaviour() = good;
     }
 }
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -27,6 +27,7 @@
     void killSeveral();
     void spoilRunner();
     void spoilService();
+    void limitRunner();
     void mend(const std::string &runner);
     void spoilRunnerPath();
     void spoilStore();
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -19,6 +19,17 @@
 constexpr kernel::Duration after = std::chrono::milliseconds(200);
 // A request that crosses the close of its connection has been cut within this time.
 constexpr kernel::Duration crossing = std::chrono::milliseconds(200);
+// A runner's limit binds the routers this long after it was first named, and each router this long
+// after it got its first response that names the limit.
+constexpr kernel::Duration limitEffectTime = std::chrono::seconds(3);
+constexpr kernel::Duration limitNotice = std::chrono::milliseconds(700);
+// Requests that a runner with a limit may get in a window: this factor times what the limit allows,
+// plus the slack.
+constexpr kernel::Duration limitWindow = std::chrono::seconds(4);
+constexpr double limitFactor = 1.5;
+constexpr double limitSlack = 5;
+// A restart or pause of a router excuses it from limits for this long.
+constexpr kernel::Duration limitExcuse = std::chrono::seconds(1);
 // Broken promises shown of one kind.
 constexpr std::size_t maxShown = 5;
 
@@ -152,6 +163,58 @@
     }
 }
 
+// Whether something happened to the router itself shortly before.
+bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant at)
+{
+    const auto touches = [&](const Disturbance &one) {
+        return one.router == router && one.from <= at && one.to + limitExcuse >= at;
+    };
+    return std::ranges::any_of(record.unplanned, touches)
+           || std::ranges::any_of(record.planned, touches);
+}
+
+// The arrivals of routers that a limit binds: those that were told of it, and undisturbed.
+std::vector<kernel::Instant> boundArrivals(const Record &record, const LimitedTime &limited)
+{
+    std::map<std::string, const Asked *> byId;
+    for (const Asked &asked : record.asked)
+        byId[asked.id] = &asked;
+    std::map<std::pair<std::size_t, int>, kernel::Instant> firstArrivals;
+    std::vector<kernel::Instant> result;
+    for (const auto &[time, request] : limited.arrivals) {
+        const auto asked = byId.find(request);
+        if (asked == byId.end())
+            continue;
+        const std::pair process{ asked->second->router, asked->second->process };
+        const kernel::Instant first = firstArrivals.try_emplace(process, time).first->second;
+        const bool told = time - first >= limitNotice;
+        if (told && time >= limited.from + limitEffectTime
+            && !isRouterDisturbed(record, process.first, time))
+            result.push_back(time);
+    }
+    return result;
+}
+
+void judgeLimits(const Record &record, std::vector<std::string> &broken)
+{
+    Findings limits("the routers together keep the limit that a runner names", broken);
+    for (const LimitedTime &limited : record.limited) {
+        const std::vector<kernel::Instant> arrivals = boundArrivals(record, limited);
+        const double allowed
+            = limitFactor * limited.perSecond * kernel::toSeconds(limitWindow) + limitSlack;
+        for (const kernel::Instant start : arrivals) {
+            const auto count = std::ranges::count_if(arrivals, [&](kernel::Instant time) {
+                return time >= start && time < start + limitWindow;
+            });
+            if (static_cast<double>(count) > allowed)
+                limits.add(std::to_string(count) + " at " + limited.runner + " with a limit of "
+                           + std::to_string(limited.perSecond) + ", from "
+                           + std::to_string(kernel::toMilliseconds(start.time_since_epoch()))
+                           + " ms");
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> judge(const Record &record, const RepeatBound &repeats)
@@ -160,6 +223,7 @@
     judgeTruth(record, broken);
     judgeService(record, broken);
     judgeRepeats(record, repeats, broken);
+    judgeLimits(record, broken);
     return broken;
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -48,6 +48,18 @@
     std::optional<std::size_t> router;
 };
 
+/// A time in which a runner named a rate limit.
+struct LimitedTime
+{
+    std::string runner;
+    /// Requests per second, from all routers together.
+    double perSecond = 0;
+    kernel::Instant from{};
+    kernel::Instant to{};
+    /// Times of the arrivals in this time, with the requests' ids.
+    std::vector<std::pair<kernel::Instant, std::string>> arrivals;
+};
+
 /// All that a run has seen, from which the promises are judged.
 struct Record
 {
@@ -60,6 +72,7 @@
     std::vector<Disturbance> storeTrouble;
     /// Running totals, one entry each second: requests sent and runs begun.
     std::vector<std::pair<std::int64_t, std::int64_t>> totals;
+    std::vector<LimitedTime> limited;
     /// Promises that were found broken while the run went on.
     std::vector<std::string> broken;
 };
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -89,8 +89,8 @@
 void World::addRouter(std::size_t number)
 {
     RouterPlace &place = m_routers[number];
-    place.callers = freeEndpoint();
-    place.readiness = freeEndpoint();
+    place.callers = unusedEndpoint();
+    place.readiness = unusedEndpoint();
     place.storePath = std::make_unique<LoopbackProxy>(m_loop, m_store.endpoint());
     const std::string base = m_options.folder + "/router-" + std::to_string(number);
     place.settingsFile = base + ".toml";
@@ -106,6 +106,15 @@
     startRouter(number);
 }
 
+// An address that no other router of this run has, also of those that don't listen yet.
+kernel::Endpoint World::unusedEndpoint()
+{
+    kernel::Endpoint endpoint = freeEndpoint();
+    while (!m_usedEndpoints.insert(kernel::toString(endpoint)).second)
+        endpoint = freeEndpoint();
+    return endpoint;
+}
+
 void World::startRouter(std::size_t number)
 {
     RouterPlace &place = m_routers[number];
@@ -234,6 +243,36 @@
     });
 }
 
+void World::limitRunner(std::size_t index, const std::string &perSecond, kernel::Duration time)
+{
+    RunnerPlace &runner = *m_runners[index];
+    if (runner.limitedSince)
+        return;
+    runner.limitedSince = scheduler().now();
+    runner.standin->behaviour().limitPerSecond = perSecond;
+    m_timers.emplace_back(scheduler(), time, [this, id = runner.id] {
+        const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
+        if (found != m_runners.end())
+            endLimit(**found);
+    });
+}
+
+void World::endLimit(RunnerPlace &runner)
+{
+    if (!runner.limitedSince)
+        return;
+    const std::string text = std::exchange(runner.standin->behaviour().limitPerSecond, {});
+    LimitedTime limited{
+        runner.id, std::atof(text.c_str()), *runner.limitedSince, scheduler().now(), {}
+    };
+    for (const auto &arrival : runner.standin->arrivals()) {
+        if (arrival.time >= limited.from)
+            limited.arrivals.emplace_back(arrival.time, arrival.request);
+    }
+    m_record.limited.push_back(std::move(limited));
+    runner.limitedSince.reset();
+}
+
 void World::killRunner(std::size_t index)
 {
     noteUnplanned("runner killed", lapseTime);
@@ -272,6 +311,7 @@
     if (found == m_runners.end())
         return;
     countRuns(**found);
+    endLimit(**found);
     (*found)->path->resetConnections();
     m_runners.erase(found);
 }
@@ -334,8 +374,10 @@
 
 void World::finish()
 {
-    for (const auto &runner : m_runners)
+    for (const auto &runner : m_runners) {
         countRuns(*runner);
+        endLimit(*runner);
+    }
 }
 
 } // namespace acaciasail::soak
--- a/soak/world.h
+++ b/soak/world.h
@@ -3,6 +3,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -59,6 +60,8 @@
     std::unique_ptr<platform::testing::RunnerStandin> standin;
     std::unique_ptr<LoopbackProxy> path;
     bool leaving = false;
+    /// Since when the runner names a rate limit.
+    std::optional<kernel::Instant> limitedSince;
 };
 
 /// The deployment that a soak runs: router processes between a store, runners and callers, all of
@@ -89,6 +92,8 @@
     void watchRouters();
     /// Runners leave as the platform tells them to: first they say so.
     void replaceRunner(std::size_t index);
+    /// Lets a runner name a rate limit for some time.
+    void limitRunner(std::size_t index, const std::string &perSecond, kernel::Duration time);
     /// A runner ends at once; the store hears of it later.
     void killRunner(std::size_t index);
 
@@ -111,6 +116,7 @@
     void finish();
 
 private:
+    kernel::Endpoint unusedEndpoint();
     void addRouter(std::size_t number);
     void startRouter(std::size_t number);
     void addRunner(const std::string &service);
@@ -119,12 +125,14 @@
     void onRunnerCrash(const std::string &id, const platform::testing::ReceivedRequest &request);
     void endRunner(const std::string &id);
     void countRuns(const RunnerPlace &runner);
+    void endLimit(RunnerPlace &runner);
     void sampleTotals();
 
     http::EventLoop &m_loop;
     WorldOptions m_options;
     platform::testing::StoreStandin m_store;
     Record m_record;
+    std::set<std::string> m_usedEndpoints;
     std::vector<RouterPlace> m_routers;
     std::vector<std::unique_ptr<RunnerPlace>> m_runners;
     std::function<void(const std::string &, const std::string &)> m_onRunnerCrash;
