--- a/src/forwarding/tests/requestlimits_tests.cpp
+++ b/src/forwarding/tests/requestlimits_tests.cpp
@@ -278,3 +278,33 @@
     fleet.run(60s, 20);
     EXPECT_EQ(fleet.reportWrites(), writes);
 }
+
+TEST(LimitSharing, LeaseStartsLateAndEndsWithoutSeenReports)
+{
+    const kernel::VmId self("vm-1");
+    LimitSharing sharing = makeLimitSharing(self, 12345, true);
+    EXPECT_FALSE(takeDueReport(sharing, {}, at(0s))) << "the other routers are not known yet";
+    replaceReports(sharing, {}, at(0s));
+    sharing.limitInForce = true;
+    const auto report = takeDueReport(sharing, {}, at(0s));
+    ASSERT_TRUE(report);
+    EXPECT_FALSE(holdsLease(sharing, at(500ms)));
+    recordReport(sharing, self, *report, at(500ms));
+    EXPECT_FALSE(holdsLease(sharing, at(2s))) << "others may not have seen the report yet";
+    EXPECT_TRUE(holdsLease(sharing, at(2600ms)));
+    EXPECT_FALSE(holdsLease(sharing, at(10s)));
+    EXPECT_FALSE(recordReport(sharing, self, *report, at(10s)).size());
+    EXPECT_FALSE(holdsLease(sharing, at(10s))) << "a report counts from its publication";
+}
+
+TEST(LimitSharing, ReportOfAnEarlierProcessGivesNoLease)
+{
+    const kernel::VmId self("vm-1");
+    LimitSharing sharing = makeLimitSharing(self, 12345, true);
+    LimitReport old;
+    old.number = 99;
+    replaceReports(sharing, { { self, old } }, at(0s));
+    recordReport(sharing, self, old, at(1s));
+    EXPECT_FALSE(holdsLease(sharing, at(4s)));
+    EXPECT_TRUE(takeDueReport(sharing, {}, at(4s))) << "its report replaces the old one";
+}
