Rate limits: heavy requests use them first; fewer calls to the store while one is in force

A limit counts requests and not their work, so a request of at least the mean work goes to a limited upstream that may get one; lighter ones go there only where half an interval would be lost. Heartbeats are rarer, follow each other, and a known limit is not told twice at once.

A request sends no more than an interval after the last one when its pace changes.

--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -111,6 +111,7 @@
     UpstreamQuery query;
     query.affinity = m_plan.affinityKey;
     query.work = m_request.work ? expectedWork(*m_request.work) : 1;
+    query.isHeavy = query.work >= m_plan.meanWork;
     query.ownDataCentre = m_state.options.dataCentre;
     query.lane = m_plan.lane;
     query.longObjectiveFraction = longObjectiveFraction(m_state.laneWork[m_plan.service]);
--- a/src/forwarding/internal/limitsharing.cpp
+++ b/src/forwarding/internal/limitsharing.cpp
@@ -1,7 +1,7 @@
 #include "forwarding/internal/limitsharing.h"
 
 #include <algorithm>
-#include <cmath>
+#include <utility>
 
 namespace acaciasail::forwarding {
 
@@ -18,10 +18,13 @@
 // only a response shows that the limit is over.
 constexpr double minLimit = 0.1;
 
-// Reports are heartbeats while a limit is in force. All routers together write at most ten per
+// Reports are heartbeats while a limit is in force. All routers together write at most 2.5 per
 // second.
-constexpr kernel::Duration minReportInterval = std::chrono::seconds(2);
-constexpr kernel::Duration reportIntervalPerRouter = std::chrono::milliseconds(100);
+constexpr kernel::Duration minReportInterval = std::chrono::seconds(5);
+constexpr kernel::Duration reportIntervalPerRouter = std::chrono::milliseconds(400);
+// A heartbeat follows that of another router early, after this fraction of the interval. The store
+// then delivers most heartbeats together, which saves calls.
+constexpr double minFollowFraction = 0.5;
 // Minimum interval between two reports if the limits changed.
 constexpr kernel::Duration changedReportInterval = std::chrono::milliseconds(300);
 // The lease is longer than the interval, so that one late report does not end it; the expiry is
@@ -31,7 +34,7 @@
 constexpr double expiryIntervals = 4;
 constexpr kernel::Duration expiryMargin = std::chrono::seconds(3);
 // Time that a router with a new lease waits for the others to see its report.
-constexpr kernel::Duration joinDelay = std::chrono::seconds(2);
+constexpr kernel::Duration joinDelay = std::chrono::seconds(3);
 // Leaves room for later numbers, and for readers whose numbers have 53 bits.
 constexpr int seedShift = 16;
 // While the store is away, only the newest reports can still be seen later.
@@ -69,6 +72,18 @@
         router.changedAt = now;
 }
 
+// Returns whether a report tells the other routers of a limit or an end of one that they don't know
+// yet. Anything else can wait for the next heartbeat.
+bool hasNews(const LimitSharing &sharing, const LimitReport &report)
+{
+    const auto reported = reportedLimits(sharing);
+    const auto &last = sharing.lastReport.limits;
+    const bool newLimit = std::ranges::any_of(report.limits, [&](const auto &item) {
+        return !reported.contains(item.first) && !last.contains(item.first);
+    });
+    return newLimit || !std::ranges::includes(sharing.lastReport.ended, report.ended);
+}
+
 // Returns whether this router has one of the `count` highest scores for the process.
 bool isChosen(const LimitSharing &sharing, const kernel::UpstreamId &process, std::size_t count)
 {
@@ -116,9 +131,11 @@
     if (added || at->second.report.number == report.number)
         return {};
     std::vector<kernel::UpstreamId> ended;
-    if (vm != sharing.self)
+    if (vm != sharing.self) {
+        sharing.otherReportSeen = true;
         std::ranges::set_difference(report.ended, at->second.report.ended,
                                     std::back_inserter(ended));
+    }
     at->second = { report, now };
     return ended;
 }
@@ -160,9 +177,7 @@
     LimitReport report{ sharing.lastReport.number + 1, ownLimits, {} };
     for (const auto &[process, endedAt] : sharing.ended)
         report.ended.insert(process);
-    // An ended limit that is no longer listed is no reason to write.
-    const bool changed = report.limits != sharing.lastReport.limits
-                         || !std::ranges::includes(sharing.lastReport.ended, report.ended);
+    const bool changed = hasNews(sharing, report);
     const auto known = sharing.routers.find(sharing.self);
     const bool missing = known == sharing.routers.end()
                          || known->second.report.number != sharing.lastReport.number;
@@ -170,7 +185,12 @@
     if (!changed && !repeated)
         return std::nullopt;
     const bool first = sharing.lastReportAt == kernel::Instant{};
-    const kernel::Duration interval = changed ? changedReportInterval : reportInterval(sharing);
+    const bool follows = std::exchange(sharing.otherReportSeen, false);
+    kernel::Duration interval = reportInterval(sharing);
+    if (changed)
+        interval = changedReportInterval;
+    else if (follows)
+        interval = kernel::scaled(interval, minFollowFraction);
     if (!first && now - sharing.lastReportAt < interval)
         return std::nullopt;
     sharing.lastReport = report;
--- a/src/forwarding/internal/limitsharing.h
+++ b/src/forwarding/internal/limitsharing.h
@@ -50,6 +50,8 @@
     /// Processes that stopped naming a limit to this router, with the time of that.
     std::map<kernel::UpstreamId, kernel::Instant> ended;
 
+    /// Whether another router has reported since this router last checked for a due report.
+    bool otherReportSeen = false;
     LimitReport lastReport;
     kernel::Instant lastReportAt{};
     /// Publication times of the reports that were not seen yet, by their numbers.
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -68,19 +68,6 @@
     return best;
 }
 
-// Returns an upstream whose rate limit would otherwise not be used up by the requests that it gets
-// for other reasons.
-const Upstream *findUnusedLimit(const std::vector<const Upstream *> &candidates,
-                                const UpstreamRecords &records, kernel::Instant now)
-{
-    const auto isUnused = [&](const Upstream *upstream) {
-        const auto &pace = recordOf(records, *upstream).notices.pace;
-        return pace && isPaceBehind(*pace, now);
-    };
-    const auto found = std::ranges::find_if(candidates, isUnused);
-    return found == candidates.end() ? nullptr : *found;
-}
-
 UpstreamChoice chooseByAffinity(const std::vector<const Upstream *> &candidates,
                                 const UpstreamRecords &records, const UpstreamQuery &query,
                                 kernel::Random &random)
@@ -108,6 +95,31 @@
     return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
 }
 
+// Moves the upstreams with a rate limit out of the candidates.
+std::vector<const Upstream *> takeLimited(std::vector<const Upstream *> &candidates,
+                                          const UpstreamRecords &records)
+{
+    std::vector<const Upstream *> limited;
+    std::erase_if(candidates, [&](const Upstream *upstream) {
+        if (!recordOf(records, *upstream).notices.pace)
+            return false;
+        limited.push_back(upstream);
+        return true;
+    });
+    return limited;
+}
+
+// Returns whether a request goes to one of the limited upstreams although others could take it. A
+// limit counts requests and not their work, so heavy requests use it; others use it only where it
+// would otherwise not be used up.
+bool usesLimited(const std::vector<const Upstream *> &limited, const UpstreamRecords &records,
+                 const UpstreamQuery &query)
+{
+    return std::ranges::any_of(limited, [&](const Upstream *upstream) {
+        return query.isHeavy || isPaceBehind(*recordOf(records, *upstream).notices.pace, query.now);
+    });
+}
+
 UpstreamChoice chooseNear(const std::vector<const Upstream *> &candidates,
                           const UpstreamRecords &records, const UpstreamQuery &query,
                           kernel::Random &random)
@@ -123,6 +135,21 @@
     return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
 }
 
+UpstreamChoice chooseLimited(const std::vector<const Upstream *> &limited,
+                             const UpstreamRecords &records, const UpstreamQuery &query,
+                             kernel::Random &random)
+{
+    std::vector<const Upstream *> behind;
+    std::ranges::copy_if(limited, std::back_inserter(behind), [&](const Upstream *upstream) {
+        return isPaceBehind(*recordOf(records, *upstream).notices.pace, query.now);
+    });
+    const std::vector<const Upstream *> &candidates = behind.empty() ? limited : behind;
+    const UpstreamChoice choice = query.affinity.empty()
+                                      ? chooseNear(candidates, records, query, random)
+                                      : chooseByAffinity(candidates, records, query, random);
+    return { choice.upstream, ChoiceReason::Limited };
+}
+
 } // namespace
 
 std::string_view toString(ChoiceReason reason)
@@ -136,8 +163,8 @@
         return "reported_load";
     case ChoiceReason::Near:
         return "near";
-    case ChoiceReason::LimitUnused:
-        return "limit_unused";
+    case ChoiceReason::Limited:
+        return "limited";
     case ChoiceReason::AvoidanceIgnored:
         return "avoided_ignored";
     case ChoiceReason::None:
@@ -171,9 +198,10 @@
         return { upstream,
                  upstream != nullptr ? ChoiceReason::AvoidanceIgnored : ChoiceReason::None };
     }
+    std::vector<const Upstream *> limited = takeLimited(preferred, records);
+    if (preferred.empty() || usesLimited(limited, records, query))
+        return chooseLimited(limited, records, query, random);
     preferred = laneUpstreams(std::move(preferred), query.lane, query.longObjectiveFraction);
-    if (const Upstream *upstream = findUnusedLimit(preferred, records, query.now))
-        return { upstream, ChoiceReason::LimitUnused };
     if (!query.affinity.empty())
         return chooseByAffinity(preferred, records, query, random);
     return chooseNear(preferred, records, query, random);
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/upstreamchoice.h
@@ -49,6 +49,8 @@
     std::string_view affinity;
     /// Expected work of the request in units of one prompt token; 1 for services that run no model.
     double work = 1;
+    /// The request is at least as much work as the mean one of its service.
+    bool isHeavy = false;
     kernel::DataCentreId ownDataCentre;
     Lane lane = Lane::Any;
     /// Fraction of the upstreams that serve requests with long latency objectives.
@@ -68,8 +70,8 @@
     ReportedLoad,
     /// The upstream is in the router's data centre and has capacity.
     Near,
-    /// The upstream has a rate limit, which is not used up.
-    LimitUnused,
+    /// The upstream has a rate limit, which allows the request.
+    Limited,
     /// Every remaining candidate is avoided.
     AvoidanceIgnored,
     None,
--- a/src/forwarding/internal/upstreamlimit.cpp
+++ b/src/forwarding/internal/upstreamlimit.cpp
@@ -54,10 +54,16 @@
 {
     if (pace && pace->perSecond == perSecond)
         return false;
-    const kernel::Instant since = pace ? pace->since : now;
-    pace = RequestPace{ .perSecond = perSecond, .since = since };
-    if (perSecond > 0)
-        pace->nextAt = now + kernel::scaled(intervalOf(perSecond), kernel::uniform01(random));
+    RequestPace next = pace.value_or(RequestPace{ .since = now });
+    next.perSecond = perSecond;
+    next.nextAt = kernel::Instant::max();
+    if (perSecond > 0) {
+        const kernel::Duration interval = intervalOf(perSecond);
+        next.nextAt = now + kernel::scaled(interval, kernel::uniform01(random));
+        if (next.lastSentAt)
+            next.nextAt = std::max(next.nextAt, *next.lastSentAt + interval);
+    }
+    pace = next;
     return true;
 }
 
@@ -72,6 +78,7 @@
     if (pace.perSecond <= 0)
         return;
     const kernel::Duration interval = intervalOf(pace.perSecond);
+    pace.lastSentAt = now;
     pace.nextAt = std::max(pace.nextAt, now - kernel::scaled(interval, maxCatchUp)) + interval;
 }
 
--- a/src/forwarding/internal/upstreamlimit.h
+++ b/src/forwarding/internal/upstreamlimit.h
@@ -41,12 +41,15 @@
     double limit = 0;
     /// Time since which a limit has been known.
     kernel::Instant since{};
+    /// Time of the last request since a limit has been known.
+    std::optional<kernel::Instant> lastSentAt;
     /// Time from which the next request may be sent.
     kernel::Instant nextAt = kernel::Instant::max();
 };
 
 /// Sets the pace in requests per second. If it changes, the next request may be sent at a random
-/// time within one interval, so that routers whose paces change together do not send together.
+/// time within one interval, so that routers whose paces change together do not send together, but
+/// not before an interval after the last request.
 /// Returns whether the pace changed.
 bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
              kernel::Random &random);
--- a/src/forwarding/tests/upstreamchoice_tests.cpp
+++ b/src/forwarding/tests/upstreamchoice_tests.cpp
@@ -236,3 +236,32 @@
     EXPECT_DOUBLE_EQ(record.workInFlight, 0);
     EXPECT_EQ(record.inFlight, 0);
 }
+
+TEST_F(UpstreamChoiceTest, LimitedUpstreamTakesHeavyRequestsAndOthersOnlyIfItsLimitIsUnused)
+{
+    std::optional<RequestPace> &pace = m_records[m_upstreams[2].id].notices.pace;
+    pace = RequestPace{ .perSecond = 2 };
+    for (const char *affinity : { "", "thing" }) {
+        m_query.affinity = affinity;
+        m_query.isHeavy = true;
+        pace->nextAt = m_query.now + 1ms;
+        EXPECT_NE(choose().upstream, &m_upstreams[2]) << "the next request is not due";
+        pace->nextAt = m_query.now;
+        EXPECT_EQ(choose().upstream, &m_upstreams[2]);
+        EXPECT_EQ(choose().reason, ChoiceReason::Limited);
+        m_query.isHeavy = false;
+        EXPECT_NE(choose().upstream, &m_upstreams[2]);
+        pace->nextAt = m_query.now - 250ms;
+        EXPECT_EQ(choose().upstream, &m_upstreams[2]) << "the limit is unused";
+    }
+}
+
+TEST_F(UpstreamChoiceTest, LimitedUpstreamsTakeAnyRequestIfNoOtherIsLeft)
+{
+    for (const Upstream &upstream : m_upstreams)
+        m_records[upstream.id].notices.pace = RequestPace{ .perSecond = 2, .nextAt = m_query.now };
+    EXPECT_NE(choose().upstream, nullptr);
+    for (const Upstream &upstream : m_upstreams)
+        m_records[upstream.id].notices.pace->nextAt = m_query.now + 1ms;
+    EXPECT_EQ(choose().upstream, nullptr);
+}
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -72,7 +72,7 @@
     EventInfo{ EventId::UpstreamRests, "UpstreamRests", EventLevel::Info,
         "An upstream that turned a request away wants none for a while; fields: upstream, rest_ms." },
     EventInfo{ EventId::UpstreamLimited, "UpstreamLimited", EventLevel::Info,
-        "An upstream named, changed or ended its rate limit; fields: upstream, change, per_second." },
+        "An upstream's rate limit, or this router's pace at it, changed; fields: upstream, change, per_second, pace_per_second, routers, lease." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
