Crash reports: a report that was shared before the earlier one was read keeps its requests

Evidence that is restored after a share is now shared again. CrashEvidence.ShareBeforeRestoringDoesNotLoseEvidenceOfThePreviousProcess failed before: nothing was due.

--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -223,6 +223,12 @@
 void restoreCrashEvidence(CrashEvidence &evidence, const poison::PoisonEvidenceSet &restored)
 {
     evidence.own.capacity = maxTrackedRequests;
+    // A report that was shared before this one was read lacks its requests.
+    const bool lacksRestored = std::ranges::any_of(restored.evidence, [&](const auto &item) {
+        return !evidence.own.evidence.contains(item.first);
+    });
+    if (lacksRestored && evidence.sharedAt != kernel::Instant{})
+        evidence.hasUnsharedEvidence = true;
     mergeCrashEvidence(evidence, restored);
     poison::merge(evidence.own, restored);
 }
--- a/src/forwarding/tests/crashevidence_tests.cpp
+++ b/src/forwarding/tests/crashevidence_tests.cpp
@@ -239,3 +239,21 @@
     recordConfirmedCrash(after, harmlessRequest, "c", 2s);
     EXPECT_TRUE(takeShared(after, 3s).evidence.contains(poisonRequest));
 }
+
+TEST(CrashEvidence, ShareBeforeRestoringDoesNotLoseEvidenceOfThePreviousProcess)
+{
+    CrashEvidence before;
+    recordConfirmedCrash(before, poisonRequest, "a", 0s);
+    recordConfirmedCrash(before, poisonRequest, "b", 0s);
+    const poison::PoisonEvidenceSet stored = takeShared(before, 2s);
+    CrashEvidence after;
+    recordConfirmedCrash(after, harmlessRequest, "c", 3s);
+    recordConfirmedCrash(after, harmlessRequest, "d", 3s);
+    const poison::PoisonEvidenceSet early = takeShared(after, 5s);
+    restoreCrashEvidence(after, stored);
+    const poison::PoisonEvidenceSet shared = takeShared(after, 10s);
+    EXPECT_TRUE(shared.evidence.contains(poisonRequest));
+    EXPECT_TRUE(shared.evidence.contains(harmlessRequest));
+    restoreCrashEvidence(after, shared);
+    EXPECT_FALSE(isShareDue(after, at(20s))) << "the router's own report brings nothing new";
+}
