Roll-outs: failures of a version are judged apart from slowness

Cause: a response counted as bad when it failed or was slow. Under load a quarter and more of the old version's responses were slow, and the target must be bad twice as often: 9 failures of 11 responses at one router, from 3 of 4 canaries, were no evidence, no router told a doubt, and the last step went through.

Fix: bad responses and failed responses are compared each by itself, in a router's judgement and in the doubt that it tells; an abandoned response counts as slow. SlowResponsesOfOldVersionDoNotHideFailuresOfTarget failed before.

--- a/src/forwarding/internal/jobwaiting.cpp
+++ b/src/forwarding/internal/jobwaiting.cpp
@@ -142,9 +142,9 @@
         return;
     }
     m_retryReserved = true;
-    // The abandoned response counts as a failure of its version in a roll-out; otherwise a version
-    // that never responds in time would not be detected.
-    review(reviewFailure);
+    // The abandoned response counts against its version in a roll-out; otherwise a version that
+    // never responds in time would not be detected.
+    review(reviewAbandoned);
     failAttempt(AttemptFailure::Silent, detail);
 }
 
--- a/src/forwarding/internal/responsereview.cpp
+++ b/src/forwarding/internal/responsereview.cpp
@@ -7,17 +7,20 @@
 // Streams with fewer events than this are not used to estimate the time between events.
 constexpr int minEventsForInterval = 3;
 
-void countBad(ResponseReview &review, RolloutEvidence &evidence)
+void countAs(ResponseReview &review, RolloutEvidence &evidence, ResponseResult result)
 {
-    if (review.bad)
+    if (review.result && *review.result >= result)
         return;
-    review.bad = true;
-    if (review.counted)
-        recountAsBad(evidence, review.responseClass, review.upstream, review.fromTargetVersion);
+    if (review.result)
+        recountResponse(evidence, review.responseClass, review.upstream, review.fromTargetVersion,
+                        *review.result, result);
+    else if (result == ResponseResult::Slow)
+        recordSlowResponse(evidence, review.responseClass, review.upstream,
+                           review.fromTargetVersion);
     else
         recordResponse(evidence, review.responseClass, review.upstream, review.fromTargetVersion,
                        true, std::nullopt);
-    review.counted = true;
+    review.result = result;
 }
 
 } // namespace
@@ -27,15 +30,15 @@
     if (review.firstByteAt)
         return;
     review.firstByteAt = now;
-    if (review.counted) {
-        // The response was already counted as late; only its time is recorded.
+    if (review.result) {
+        // The response was already counted as slow; only its time is recorded.
         if (!review.fromTargetVersion)
             recordBaselineFirstByte(evidence, review.responseClass, now - review.startedAt);
         return;
     }
-    review.counted = true;
-    review.bad = recordResponse(evidence, review.responseClass, review.upstream,
-                                review.fromTargetVersion, false, now - review.startedAt);
+    const bool slow = recordResponse(evidence, review.responseClass, review.upstream,
+                                     review.fromTargetVersion, false, now - review.startedAt);
+    review.result = slow ? ResponseResult::Slow : ResponseResult::Good;
 }
 
 void reviewEvent(ResponseReview &review)
@@ -54,18 +57,23 @@
 
 void reviewFailure(ResponseReview &review, RolloutEvidence &evidence, kernel::Instant /*now*/)
 {
-    countBad(review, evidence);
+    countAs(review, evidence, ResponseResult::Failed);
+}
+
+void reviewAbandoned(ResponseReview &review, RolloutEvidence &evidence, kernel::Instant /*now*/)
+{
+    countAs(review, evidence, ResponseResult::Slow);
 }
 
 void reviewProgress(ResponseReview &review, RolloutEvidence &evidence, kernel::Instant now)
 {
-    if (review.bad)
+    if (review.result && *review.result != ResponseResult::Good)
         return;
     const auto bound = review.firstByteAt
                            ? slowStreamTime(evidence, review.responseClass, review.events)
                            : slowFirstByteTime(evidence, review.responseClass);
     if (bound && now - review.firstByteAt.value_or(review.startedAt) > *bound)
-        countBad(review, evidence);
+        countAs(review, evidence, ResponseResult::Slow);
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rolloutplan.cpp
@@ -57,7 +57,27 @@
 // at the engine.
 constexpr double minSlowStreamSeconds = 1;
 
-bool failsMoreOften(const VersionEvidence &target, const VersionEvidence &old)
+// A measure of one version: the responses that count against it, and the upstreams that gave them.
+// Failures are measured alone as well, because the load of the old version may make many of its
+// responses slow, which would hide the failures of the target.
+struct Measure
+{
+    int bad = 0;
+    int total = 0;
+    const std::set<kernel::UpstreamId> *badUpstreams = nullptr;
+    const std::set<kernel::UpstreamId> *upstreams = nullptr;
+
+    double badFraction() const { return total == 0 ? 0 : static_cast<double>(bad) / total; }
+};
+
+std::array<Measure, 2> measuresOf(const VersionEvidence &evidence)
+{
+    return { Measure{ evidence.bad, evidence.total(), &evidence.badUpstreams, &evidence.upstreams },
+             Measure{ evidence.failed, evidence.total(), &evidence.failedUpstreams,
+                      &evidence.upstreams } };
+}
+
+bool isMoreOftenBad(const Measure &target, const Measure &old)
 {
     return target.badFraction() >= old.badFraction() * badFractionFactor
            && target.badFraction() >= old.badFraction() + minBadFractionExcess;
@@ -69,10 +89,18 @@
            >= std::ceil(minBadUpstreamFraction * static_cast<double>(upstreams));
 }
 
-bool clearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
+bool isClearlyWorse(const Measure &target, const Measure &old)
 {
-    return target.bad >= minBadResponses && failsMoreOften(target, old)
-           && mostAreBad(target.badUpstreams.size(), target.upstreams.size());
+    return target.bad >= minBadResponses && isMoreOftenBad(target, old)
+           && mostAreBad(target.badUpstreams->size(), target.upstreams->size());
+}
+
+bool isClearlyWorse(const VersionEvidence &target, const VersionEvidence &old)
+{
+    const auto targetMeasures = measuresOf(target);
+    const auto oldMeasures = measuresOf(old);
+    return isClearlyWorse(targetMeasures[0], oldMeasures[0])
+           || isClearlyWorse(targetMeasures[1], oldMeasures[1]);
 }
 
 const VersionEvidence &oldOfClass(const RolloutEvidence &evidence,
@@ -83,46 +111,67 @@
     return found == evidence.oldByClass.end() ? none : found->second;
 }
 
-RolloutDoubt makeDoubt(const VersionEvidence &target, const kernel::VmId &vm)
+RolloutDoubt makeDoubt(const Measure &target, const kernel::VmId &vm)
 {
     RolloutDoubt doubt{ vm, target.bad, {} };
-    for (const kernel::UpstreamId &id : target.badUpstreams) {
+    for (const kernel::UpstreamId &id : *target.badUpstreams) {
         if (doubt.upstreams.size() < maxUpstreamsPerDoubt)
             doubt.upstreams.push_back(id);
     }
     return doubt;
 }
 
-void dropOldest(VersionEvidence &evidence)
+void addResult(VersionEvidence &evidence, ResponseResult result, int count)
 {
-    --(evidence.recentResults.front() ? evidence.bad : evidence.good);
-    evidence.recentResults.pop_front();
+    (result == ResponseResult::Good ? evidence.good : evidence.bad) += count;
+    if (result == ResponseResult::Failed)
+        evidence.failed += count;
 }
 
-void recordResult(VersionEvidence &evidence, std::size_t maxResponses,
-                  const kernel::UpstreamId &upstream, bool bad)
+void recordUpstream(VersionEvidence &evidence, const kernel::UpstreamId &upstream,
+                    ResponseResult result)
 {
     evidence.upstreams.insert(upstream);
-    if (bad)
+    if (result != ResponseResult::Good)
         evidence.badUpstreams.insert(upstream);
-    ++(bad ? evidence.bad : evidence.good);
-    evidence.recentResults.push_back(bad);
-    if (evidence.recentResults.size() > maxResponses)
-        dropOldest(evidence);
+    if (result == ResponseResult::Failed)
+        evidence.failedUpstreams.insert(upstream);
 }
 
-// The latest good response is counted as bad instead; which of the good responses is replaced makes
-// no difference.
-void replaceGoodResult(VersionEvidence &evidence, const kernel::UpstreamId &upstream)
+void recordResult(VersionEvidence &evidence, std::size_t maxResponses,
+                  const kernel::UpstreamId &upstream, ResponseResult result)
 {
-    evidence.badUpstreams.insert(upstream);
-    const auto good
-        = std::find(evidence.recentResults.rbegin(), evidence.recentResults.rend(), false);
-    if (good == evidence.recentResults.rend())
+    recordUpstream(evidence, upstream, result);
+    addResult(evidence, result, 1);
+    evidence.recentResults.push_back(result);
+    if (evidence.recentResults.size() > maxResponses) {
+        addResult(evidence, evidence.recentResults.front(), -1);
+        evidence.recentResults.pop_front();
+    }
+}
+
+// The latest response with the earlier result is counted anew; which of them makes no difference.
+void replaceResult(VersionEvidence &evidence, const kernel::UpstreamId &upstream,
+                   ResponseResult before, ResponseResult after)
+{
+    recordUpstream(evidence, upstream, after);
+    const auto found
+        = std::find(evidence.recentResults.rbegin(), evidence.recentResults.rend(), before);
+    if (found == evidence.recentResults.rend())
         return;
-    *good = true;
-    --evidence.good;
-    ++evidence.bad;
+    *found = after;
+    addResult(evidence, before, -1);
+    addResult(evidence, after, 1);
+}
+
+void recordResult(RolloutEvidence &evidence, const ResponseClass &responseClass,
+                  const kernel::UpstreamId &upstream, bool fromTargetVersion, ResponseResult result)
+{
+    const std::size_t maxResponses = fromTargetVersion ? maxNewResponses : maxOldResponses;
+    recordResult(fromTargetVersion ? evidence.newTotal : evidence.oldTotal, maxResponses, upstream,
+                 result);
+    recordResult((fromTargetVersion ? evidence.newByClass : evidence.oldByClass)[responseClass],
+                 maxResponses, upstream, result);
 }
 
 void updateBaseline(std::map<ResponseClass, double> &baseline, const ResponseClass &responseClass,
@@ -182,27 +231,32 @@
                     const kernel::UpstreamId &upstream, bool fromTargetVersion, bool failed,
                     std::optional<kernel::Duration> timeToFirstByte)
 {
-    bool bad = failed;
+    ResponseResult result = failed ? ResponseResult::Failed : ResponseResult::Good;
     if (timeToFirstByte) {
         const auto slow = slowFirstByteTime(evidence, responseClass);
-        bad = bad || (slow && *timeToFirstByte > *slow);
+        if (!failed && slow && *timeToFirstByte > *slow)
+            result = ResponseResult::Slow;
         if (!fromTargetVersion)
             recordBaselineFirstByte(evidence, responseClass, *timeToFirstByte);
     }
-    const std::size_t maxResponses = fromTargetVersion ? maxNewResponses : maxOldResponses;
-    recordResult(fromTargetVersion ? evidence.newTotal : evidence.oldTotal, maxResponses, upstream,
-                 bad);
-    recordResult((fromTargetVersion ? evidence.newByClass : evidence.oldByClass)[responseClass],
-                 maxResponses, upstream, bad);
-    return bad;
+    recordResult(evidence, responseClass, upstream, fromTargetVersion, result);
+    return result != ResponseResult::Good;
+}
+
+void recordSlowResponse(RolloutEvidence &evidence, const ResponseClass &responseClass,
+                        const kernel::UpstreamId &upstream, bool fromTargetVersion)
+{
+    recordResult(evidence, responseClass, upstream, fromTargetVersion, ResponseResult::Slow);
 }
 
-void recountAsBad(RolloutEvidence &evidence, const ResponseClass &responseClass,
-                  const kernel::UpstreamId &upstream, bool fromTargetVersion)
+void recountResponse(RolloutEvidence &evidence, const ResponseClass &responseClass,
+                     const kernel::UpstreamId &upstream, bool fromTargetVersion,
+                     ResponseResult before, ResponseResult after)
 {
-    replaceGoodResult(fromTargetVersion ? evidence.newTotal : evidence.oldTotal, upstream);
-    replaceGoodResult(
-        (fromTargetVersion ? evidence.newByClass : evidence.oldByClass)[responseClass], upstream);
+    replaceResult(fromTargetVersion ? evidence.newTotal : evidence.oldTotal, upstream, before,
+                  after);
+    replaceResult((fromTargetVersion ? evidence.newByClass : evidence.oldByClass)[responseClass],
+                  upstream, before, after);
 }
 
 void recordBaselineFirstByte(RolloutEvidence &evidence, const ResponseClass &responseClass,
@@ -239,25 +293,30 @@
 
 bool isTargetWorse(const RolloutEvidence &evidence)
 {
-    if (clearlyWorse(evidence.newTotal, evidence.oldTotal))
+    if (isClearlyWorse(evidence.newTotal, evidence.oldTotal))
         return true;
     return std::ranges::any_of(evidence.newByClass, [&](const auto &item) {
-        return clearlyWorse(item.second, oldOfClass(evidence, item.first));
+        return isClearlyWorse(item.second, oldOfClass(evidence, item.first));
     });
 }
 
 std::optional<RolloutDoubt> ownDoubt(const RolloutEvidence &evidence, const kernel::VmId &vm)
 {
-    const VersionEvidence *worst = nullptr;
+    std::optional<Measure> worst;
     const auto consider = [&](const VersionEvidence &target, const VersionEvidence &old) {
-        if (target.bad >= minBadResponsesToDoubt && failsMoreOften(target, old)
-            && (worst == nullptr || target.bad > worst->bad))
-            worst = &target;
+        const auto targetMeasures = measuresOf(target);
+        const auto oldMeasures = measuresOf(old);
+        for (std::size_t i = 0; i < targetMeasures.size(); ++i) {
+            const Measure &measure = targetMeasures[i];
+            if (measure.bad >= minBadResponsesToDoubt && isMoreOftenBad(measure, oldMeasures[i])
+                && (!worst || measure.bad > worst->bad))
+                worst = measure;
+        }
     };
     consider(evidence.newTotal, evidence.oldTotal);
     for (const auto &[responseClass, target] : evidence.newByClass)
         consider(target, oldOfClass(evidence, responseClass));
-    if (worst == nullptr)
+    if (!worst)
         return std::nullopt;
     return makeDoubt(*worst, vm);
 }
--- a/src/forwarding/internal/rolloutplan.h
+++ b/src/forwarding/internal/rolloutplan.h
@@ -23,19 +23,27 @@
 /// session and the share alone, so all routers agree, and a session moves once and never back.
 VersionChoice chooseVersion(const Rollout &rollout, std::string_view session);
 
+enum class ResponseResult {
+    Good,
+    Slow,
+    Failed,
+};
+
 /// The latest responses of the target version or of the old version.
 struct VersionEvidence
 {
     int good = 0;
+    /// Slow and failed responses.
     int bad = 0;
-    /// Whether each response was bad, the oldest first.
-    std::deque<bool> recentResults;
-    /// Upstreams that gave bad responses.
+    int failed = 0;
+    /// Result of each response, the oldest first.
+    std::deque<ResponseResult> recentResults;
+    /// Upstreams that gave bad responses, and those that gave failed ones.
     std::set<kernel::UpstreamId> badUpstreams;
+    std::set<kernel::UpstreamId> failedUpstreams;
     std::set<kernel::UpstreamId> upstreams;
 
     int total() const { return good + bad; }
-    double badFraction() const { return total() == 0 ? 0 : static_cast<double>(bad) / total(); }
 };
 
 /// Class of comparable responses: those of one route and one model.
@@ -71,9 +79,14 @@
                     const kernel::UpstreamId &upstream, bool fromTargetVersion, bool failed,
                     std::optional<kernel::Duration> timeToFirstByte);
 
-/// Records that a response which counted as good has turned out bad.
-void recountAsBad(RolloutEvidence &evidence, const ResponseClass &responseClass,
-                  const kernel::UpstreamId &upstream, bool fromTargetVersion);
+/// Records a response that is known to be slow before its first byte.
+void recordSlowResponse(RolloutEvidence &evidence, const ResponseClass &responseClass,
+                        const kernel::UpstreamId &upstream, bool fromTargetVersion);
+
+/// Records that a response which counted as `before` has turned out to be `after`, which is worse.
+void recountResponse(RolloutEvidence &evidence, const ResponseClass &responseClass,
+                     const kernel::UpstreamId &upstream, bool fromTargetVersion,
+                     ResponseResult before, ResponseResult after);
 
 /// Records a time to the first byte on the old version.
 void recordBaselineFirstByte(RolloutEvidence &evidence, const ResponseClass &responseClass,
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -307,3 +307,30 @@
     }
     EXPECT_TRUE(isTargetWorse(evidence));
 }
+
+TEST(RolloutPlan, SlowResponsesOfOldVersionDoNotHideFailuresOfTarget)
+{
+    RolloutEvidence evidence;
+    evidence.sharePermille = 250;
+    for (int i = 0; i < 60; ++i) {
+        const kernel::UpstreamId old("old" + std::to_string(i % 4));
+        recordResponse(evidence, chat, old, false, false, 100ms);
+        // Its load makes half as many others slow.
+        ResponseReview slow;
+        slow.responseClass = chat;
+        slow.upstream = old;
+        if (i % 2 == 0)
+            reviewProgress(slow, evidence, at(10s));
+    }
+    for (int i = 0; i < 15; ++i) {
+        const kernel::UpstreamId target("new" + std::to_string(i % 4));
+        const bool failed = i % 5 < 3;
+        recordResponse(evidence, chat, target, true, failed,
+                       failed ? std::nullopt : std::optional<kernel::Duration>(100ms));
+    }
+    EXPECT_TRUE(isTargetWorse(evidence));
+    const auto doubt = ownDoubt(evidence, vm);
+    ASSERT_TRUE(doubt);
+    EXPECT_EQ(doubt->badResponses, 9);
+    EXPECT_EQ(doubt->upstreams.size(), 4U);
+}
