--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -88,6 +88,9 @@
     void queryNextLoad();
     void onLoad(const kernel::Completion<EngineLoad> &outcome);
     void startAtLeastLoaded();
+    Attempt makeAttempt(const Upstream &upstream) const;
+    AttemptContext makeAttemptContext(const Upstream &upstream) const;
+    void logChoice(const UpstreamChoice &choice) const;
     void startAttempt(const UpstreamChoice &choice);
     void onSent();
     void onHead(const http::ClientHead &clientHead);
