--- a/src/forwarding/internal/requestlimits.cpp
+++ b/src/forwarding/internal/requestlimits.cpp
@@ -22,6 +22,13 @@
                        { "lease", holdsLease(state.limitSharing, state.scheduler.now()) } });
 }
 
+bool isAnyLimitKnown(const ForwardingState &state)
+{
+    return std::ranges::any_of(state.records, [](const auto &item) {
+        return item.second.notices.limit || item.second.notices.pace;
+    });
+}
+
 // Returns the limit that applies to an upstream: the one named to this router, or the reported one.
 std::optional<double> limitInForce(const UpstreamNotices &notices, std::optional<double> reported)
 {
@@ -84,6 +91,8 @@
 {
     const auto reported = reportedLimits(state.limitSharing);
     state.limitSharing.limitInForce = false;
+    if (reported.empty() && !isAnyLimitKnown(state))
+        return;
     for (const auto &[id, known] : state.directory.upstreams) {
         const auto limit = reported.find(processIdOf(known.entry));
         applyLimit(state, known.entry,
