--- a/src/forwarding/internal/limitsharing.cpp
+++ b/src/forwarding/internal/limitsharing.cpp
@@ -72,14 +72,20 @@
         router.changedAt = now;
 }
 
+bool isReportedByOther(const LimitSharing &sharing, const kernel::UpstreamId &process)
+{
+    return std::ranges::any_of(sharing.routers, [&](const auto &item) {
+        return item.first != sharing.self && item.second.report.limits.contains(process);
+    });
+}
+
 // Returns whether a report tells the other routers of a limit or an end of one that they don't know
 // yet. Anything else can wait for the next heartbeat.
 bool hasNews(const LimitSharing &sharing, const LimitReport &report)
 {
-    const auto reported = reportedLimits(sharing);
     const auto &last = sharing.lastReport.limits;
     const bool newLimit = std::ranges::any_of(report.limits, [&](const auto &item) {
-        return !reported.contains(item.first) && !last.contains(item.first);
+        return !last.contains(item.first) && !isReportedByOther(sharing, item.first);
     });
     return newLimit || !std::ranges::includes(sharing.lastReport.ended, report.ended);
 }
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/upstreamchoice.cpp
@@ -135,6 +135,15 @@
     return { leastLoaded(candidates, records, random), ChoiceReason::LeastLoaded };
 }
 
+UpstreamChoice chooseByAffinityOrNear(const std::vector<const Upstream *> &candidates,
+                                      const UpstreamRecords &records, const UpstreamQuery &query,
+                                      kernel::Random &random)
+{
+    if (!query.affinity.empty())
+        return chooseByAffinity(candidates, records, query, random);
+    return chooseNear(candidates, records, query, random);
+}
+
 UpstreamChoice chooseLimited(const std::vector<const Upstream *> &limited,
                              const UpstreamRecords &records, const UpstreamQuery &query,
                              kernel::Random &random)
@@ -144,10 +153,8 @@
         return isPaceBehind(*recordOf(records, *upstream).notices.pace, query.now);
     });
     const std::vector<const Upstream *> &candidates = behind.empty() ? limited : behind;
-    const UpstreamChoice choice = query.affinity.empty()
-                                      ? chooseNear(candidates, records, query, random)
-                                      : chooseByAffinity(candidates, records, query, random);
-    return { choice.upstream, ChoiceReason::Limited };
+    return { chooseByAffinityOrNear(candidates, records, query, random).upstream,
+             ChoiceReason::Limited };
 }
 
 } // namespace
@@ -202,9 +209,7 @@
     if (preferred.empty() || usesLimited(limited, records, query))
         return chooseLimited(limited, records, query, random);
     preferred = laneUpstreams(std::move(preferred), query.lane, query.longObjectiveFraction);
-    if (!query.affinity.empty())
-        return chooseByAffinity(preferred, records, query, random);
-    return chooseNear(preferred, records, query, random);
+    return chooseByAffinityOrNear(preferred, records, query, random);
 }
 
 std::vector<UpstreamChoice> chooseUpstreams(const std::vector<const Upstream *> &candidates,
