Stop: a router stays until it has told the others of the crashes that it saw

What callers saw: a request that had crashed three upstreams at one router crashed more at others.

Cause: a stopping router left as soon as no request was in progress. A crash is certain half a second after the upstream is found gone, and is told in the store after that; what was not certain or not written by then was lost with the process.

Fix: the drain also waits until no lost run is unjudged, nothing is untold and the store has acknowledged the report, at most for the time to stop as before; DrainFinished says whether that was reached. Routers without lost runs stop as soon as before.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -228,14 +228,8 @@
             = m_callerServer->connectionsAccepted() > *m_acceptedBeforeClosing;
         m_forwarder.setExitDeadline(*m_drainStartedAt + m_settings.stopTimeout - exitMargin,
                                     onlyReadyRouter);
-        if (m_loop.scheduler().now() - m_lastBusyAt >= drainIdleTime
-            || elapsed >= m_settings.stopTimeout - exitMargin) {
-            kernel::logEvent(kernel::EventId::DrainFinished,
-                             { { "in_progress", m_forwarder.inProgress() },
-                               { "connections", m_callerServer->connections() },
-                               { "took_ms", kernel::toMilliseconds(elapsed) } });
-            m_stopped = true;
-            m_loop.stop();
+        if (isReadyToExit() || elapsed >= m_settings.stopTimeout - exitMargin) {
+            finishDrain();
             return;
         }
     }
@@ -243,6 +237,28 @@
         = kernel::Timer(m_loop.scheduler(), drainCheckInterval, [this] { continueDrain(); });
 }
 
+bool Router::isReadyToExit() const
+{
+    return m_loop.scheduler().now() - m_lastBusyAt >= drainIdleTime && areCrashesShared();
+}
+
+bool Router::areCrashesShared() const
+{
+    return !m_forwarder.hasCrashesToShare() && m_adapter.isCrashEvidenceStored();
+}
+
+void Router::finishDrain()
+{
+    kernel::logEvent(
+        kernel::EventId::DrainFinished,
+        { { "in_progress", m_forwarder.inProgress() },
+          { "connections", m_callerServer->connections() },
+          { "crashes_shared", areCrashesShared() },
+          { "took_ms", kernel::toMilliseconds(m_loop.scheduler().now() - *m_drainStartedAt) } });
+    m_stopped = true;
+    m_loop.stop();
+}
+
 kernel::Result<void> runRouter(const RouterSettings &settings, const std::string &settingsFile)
 {
     kernel::openEventLog(settings.log);
--- a/src/app/router/router.h
+++ b/src/app/router/router.h
@@ -54,6 +54,9 @@
     void answerReadiness(const std::shared_ptr<http::Responder> &responder);
     void checkSettings();
     void continueDrain();
+    bool isReadyToExit() const;
+    bool areCrashesShared() const;
+    void finishDrain();
 
     http::EventLoop &m_loop;
     RouterSettings m_settings;
--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -239,6 +239,11 @@
     poison::expire(evidence.own, wallNow);
 }
 
+bool hasEvidenceToShare(const CrashEvidence &evidence)
+{
+    return evidence.hasUnsharedEvidence || !evidence.lost.empty() || !evidence.pending.empty();
+}
+
 bool isShareDue(CrashEvidence &evidence, kernel::Instant now)
 {
     moveOverdueToOwn(evidence, now);
--- a/src/forwarding/internal/crashevidence.h
+++ b/src/forwarding/internal/crashevidence.h
@@ -103,6 +103,9 @@
 /// Removes expired evidence.
 void expireCrashEvidence(CrashEvidence &evidence, kernel::WallTime wallNow);
 
+/// Returns whether this router has evidence of its own that is not certain or not shared yet. Both
+/// take a few seconds.
+bool hasEvidenceToShare(const CrashEvidence &evidence);
 /// Returns whether this router's own evidence should be shared now.
 bool isShareDue(CrashEvidence &evidence, kernel::Instant now);
 /// Returns the evidence to share and marks it as shared.
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -84,6 +84,8 @@
 
     bool canServe() const { return forwarding::canServe(m_state.directory); }
     std::size_t inProgress() const { return m_jobs.size(); }
+    /// Returns whether the other routers have yet to be told of crashes that this router has seen.
+    bool hasCrashesToShare() const { return m_shareCrashes && hasEvidenceToShare(m_state.crashes); }
     const ForwardingState &state() const { return m_state; }
     metrics::Registry &metrics() { return m_state.metrics.registry; }
     const metrics::Registry &metrics() const { return m_state.metrics.registry; }
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -16,7 +16,8 @@
     EventInfo{ EventId::DrainStarted, "DrainStarted", EventLevel::Info,
         "A graceful shutdown began." },
     EventInfo{ EventId::DrainFinished, "DrainFinished", EventLevel::Info,
-        "The last request in progress ended, or the operator's limit passed." },
+        "The last request in progress ended and the crashes seen were shared, or the operator's "
+        "limit passed." },
     EventInfo{ EventId::SettingsRejected, "SettingsRejected", EventLevel::Error,
         "The settings hold a mistake." },
     EventInfo{ EventId::ListenerFailed, "ListenerFailed", EventLevel::Error,
