Soak: runners announce that they leave and ask for cooldowns in their responses, and both are checked

Now they do, for long or in the responses of 150 ms only, beside a registration that says nothing; replaced runners announce it as well. Judged by what callers got (the stamp of the runner that answered) and by what the runner said at each arrival.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -169,6 +169,8 @@
         good.work = World::workTime();
         good.crashBodyPrefix = crashingBody;
         good.limitPerSecond = one->standin->behaviour().limitPerSecond;
+        good.announcesLeaving = one->standin->behaviour().announcesLeaving;
+        good.retryAfterSeconds = one->standin->behaviour().retryAfterSeconds;
         one->standin->behaviour() = good;
     }
 }
@@ -179,6 +181,7 @@
     const auto die = kernel::uniformBelow(m_random, 4);
     if (die == 0) {
         m_world.noteUnplanned("path to " + runner.id + " reset", {});
+        m_world.notePathTrouble(runner.id, {});
         runner.path->resetConnections();
         return;
     }
@@ -187,6 +190,7 @@
                                                 : ProxyBehaviour::Silent;
     const kernel::Duration time = between(300ms, 2s);
     m_world.noteUnplanned("path to " + runner.id + " spoilt", time);
+    m_world.notePathTrouble(runner.id, time);
     runner.path->setBehaviour(behaviour);
     later(time, [this, id = runner.id] {
         for (const auto &one : m_world.runners()) {
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,6 +13,7 @@
 #include "configurationcheck.h"
 #include "crashingrequests.h"
 #include "faults.h"
+#include "runnernotices.h"
 
 namespace {
 
@@ -100,8 +101,12 @@
         std::optional<CrashingRequests> crashing;
         if (!options.plannedOnly)
             crashing.emplace(loop, world, kernel::Random(random()));
+        std::optional<RunnerNotices> notices;
+        if (!options.plannedOnly)
+            notices.emplace(world, kernel::Random(random()));
         play(std::chrono::seconds(options.seconds));
         faults.stop();
+        notices.reset();
         play(calmTime);
     }
     callers.stop();
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-#include "platform/testing/runnerstandin.h"
+#include "findings.h"
+#include "runnernotices.h"
 
 namespace acaciasail::soak {
 
@@ -30,8 +31,6 @@
 constexpr double limitSlack = 5;
 // A restart or pause of a router excuses it from limits for this long.
 constexpr kernel::Duration limitExcuse = std::chrono::seconds(1);
-// Broken promises shown of one kind.
-constexpr std::size_t maxShown = 5;
 
 bool promisesNotRun(int status)
 {
@@ -72,34 +71,6 @@
     return body;
 }
 
-// Collects broken promises of one kind; the first ones are described.
-class Findings
-{
-public:
-    Findings(std::string promise, std::vector<std::string> &out)
-        : m_promise(std::move(promise))
-        , m_out(out)
-    {}
-    ~Findings()
-    {
-        if (m_count > maxShown)
-            m_out.push_back(m_promise + ": " + std::to_string(m_count) + " in all");
-    }
-    Findings(const Findings &) = delete;
-    Findings &operator=(const Findings &) = delete;
-
-    void add(const std::string &what)
-    {
-        if (++m_count <= maxShown)
-            m_out.push_back(m_promise + ": " + what);
-    }
-
-private:
-    std::string m_promise;
-    std::vector<std::string> &m_out;
-    std::size_t m_count = 0;
-};
-
 // What a caller may believe of any answer, whatever goes wrong meanwhile.
 void judgeTruth(const Record &record, std::vector<std::string> &broken)
 {
@@ -163,16 +134,6 @@
     }
 }
 
-// Whether something happened to the router itself shortly before.
-bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant at)
-{
-    const auto touches = [&](const Disturbance &one) {
-        return one.router == router && one.from <= at && one.to + limitExcuse >= at;
-    };
-    return std::ranges::any_of(record.unplanned, touches)
-           || std::ranges::any_of(record.planned, touches);
-}
-
 // The arrivals of routers that a limit binds: those that were told of it, and undisturbed.
 std::vector<kernel::Instant> boundArrivals(const Record &record, const LimitedTime &limited)
 {
@@ -189,7 +150,7 @@
         const kernel::Instant first = firstArrivals.try_emplace(process, time).first->second;
         const bool told = time - first >= limitNotice;
         if (told && time >= limited.from + limitEffectTime
-            && !isRouterDisturbed(record, process.first, time))
+            && !isRouterDisturbed(record, process.first, time - limitExcuse, time))
             result.push_back(time);
     }
     return result;
@@ -217,6 +178,16 @@
 
 } // namespace
 
+bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
+                       kernel::Instant to)
+{
+    const auto touches = [&](const Disturbance &one) {
+        return one.router == router && one.from <= to && one.to >= from;
+    };
+    return std::ranges::any_of(record.unplanned, touches)
+           || std::ranges::any_of(record.planned, touches);
+}
+
 std::vector<std::string> judge(const Record &record, const RepeatBound &repeats)
 {
     std::vector<std::string> broken = record.broken;
@@ -224,6 +195,7 @@
     judgeService(record, broken);
     judgeRepeats(record, repeats, broken);
     judgeLimits(record, broken);
+    judgeNotices(record, broken);
     return broken;
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kernel/kernel.h"
+#include "platform/testing/runnerstandin.h"
 
 namespace acaciasail::soak {
 
@@ -30,6 +31,9 @@
     kernel::Instant ended{};
     /// 0 where no answer's head came.
     int status = 0;
+    kernel::Instant headAt{};
+    /// The stamp of the runner that answered; empty for the router's own answers.
+    std::string stamp;
     /// The connection stood and the request went out.
     bool passedOn = false;
     /// The answer came to its end.
@@ -73,10 +77,18 @@
     /// Running totals, one entry each second: requests sent and runs begun.
     std::vector<std::pair<std::int64_t, std::int64_t>> totals;
     std::vector<LimitedTime> limited;
+    /// All arrivals at each runner, by its id.
+    std::map<std::string, std::vector<platform::testing::Arrival>> arrivals;
+    /// Times in which the path to a runner was harmed, by the runner's id.
+    std::map<std::string, std::vector<Disturbance>> pathTrouble;
     /// Promises that were found broken while the run went on.
     std::vector<std::string> broken;
 };
 
+/// Whether a restart, a pause or other trouble touched the router itself in this time.
+bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
+                       kernel::Instant to);
+
 /// What the routers were told of repeats.
 struct RepeatBound
 {
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -30,6 +30,8 @@
 constexpr kernel::Duration lapseTime = std::chrono::milliseconds(600);
 // A leaving runner serves this long after it has said so.
 constexpr kernel::Duration leaveTime = std::chrono::milliseconds(3500);
+// A runner that only its responses show to be leaving ends after this.
+constexpr kernel::Duration unregisteredLeaveTime = std::chrono::seconds(5);
 constexpr kernel::Duration newRunnerDelay = std::chrono::milliseconds(300);
 constexpr kernel::Duration sampleInterval = std::chrono::seconds(1);
 constexpr int eventsPerStream = 30;
@@ -234,6 +236,7 @@
     if (runner.leaving)
         return;
     runner.leaving = true;
+    runner.standin->behaviour().announcesLeaving = true;
     registerRunner(runner);
     notePlanned("runner leaves", leaveTime);
     addRunner(runner.service);
@@ -243,6 +246,42 @@
     });
 }
 
+void World::announceLeaving(std::size_t index, kernel::Duration time)
+{
+    RunnerPlace &runner = *m_runners[index];
+    if (runner.leaving)
+        return;
+    runner.leaving = true;
+    const std::string id = runner.id;
+    runner.standin->behaviour().announcesLeaving = true;
+    changeRunnerLater(id, time, [](auto &behaviour) { behaviour.announcesLeaving = false; });
+    m_timers.emplace_back(scheduler(), unregisteredLeaveTime, [this, id] {
+        noteUnplanned("leaving runner ends", lapseTime);
+        endRunner(id);
+    });
+    addRunner(runner.service);
+}
+
+void World::requestCooldown(std::size_t index, const std::string &retryAfter, kernel::Duration time)
+{
+    RunnerPlace &runner = *m_runners[index];
+    noteUnplanned("runner " + runner.id + " asks for a cooldown",
+                  time + kernel::fromSeconds(std::atof(retryAfter.c_str())));
+    runner.standin->behaviour().retryAfterSeconds = retryAfter;
+    changeRunnerLater(runner.id, time,
+                      [](auto &behaviour) { behaviour.retryAfterSeconds.clear(); });
+}
+
+void World::changeRunnerLater(const std::string &id, kernel::Duration time,
+                              std::function<void(platform::testing::RunnerBehaviour &)> change)
+{
+    m_timers.emplace_back(scheduler(), time, [this, id, change = std::move(change)] {
+        const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
+        if (found != m_runners.end())
+            change((*found)->standin->behaviour());
+    });
+}
+
 void World::limitRunner(std::size_t index, const std::string &perSecond, kernel::Duration time)
 {
     RunnerPlace &runner = *m_runners[index];
@@ -320,6 +359,7 @@
 {
     for (const auto &[request, count] : runner.standin->runCounts())
         m_record.runs[request] += count;
+    m_record.arrivals[runner.id] = runner.standin->arrivals();
 }
 
 void World::sampleTotals()
@@ -349,6 +389,12 @@
     m_record.planned.push_back({ now, now + time, what, router });
 }
 
+void World::notePathTrouble(const std::string &runner, kernel::Duration time)
+{
+    const kernel::Instant now = scheduler().now();
+    m_record.pathTrouble[runner].push_back({ now, now + time, "path", {} });
+}
+
 void World::noteStoreTrouble(kernel::Duration time, std::optional<std::size_t> router)
 {
     const kernel::Instant now = scheduler().now();
--- a/soak/world.h
+++ b/soak/world.h
@@ -92,6 +92,11 @@
     void watchRouters();
     /// Runners leave as the platform tells them to: first they say so.
     void replaceRunner(std::size_t index);
+    /// A runner announces in its responses, for this time, that it leaves; its registration does
+    /// not say so. Some seconds later it ends.
+    void announceLeaving(std::size_t index, kernel::Duration time);
+    /// A runner refuses all requests for this time, with this Retry-After in seconds.
+    void requestCooldown(std::size_t index, const std::string &retryAfter, kernel::Duration time);
     /// Lets a runner name a rate limit for some time.
     void limitRunner(std::size_t index, const std::string &perSecond, kernel::Duration time);
     /// A runner ends at once; the store hears of it later.
@@ -109,6 +114,7 @@
                        std::optional<std::size_t> router = {});
     void notePlanned(const std::string &what, kernel::Duration time,
                      std::optional<std::size_t> router = {});
+    void notePathTrouble(const std::string &runner, kernel::Duration time);
     void noteStoreTrouble(kernel::Duration time, std::optional<std::size_t> router = {});
     /// Time that a runner in good order takes for a request, and between a stream's events.
     static kernel::Duration workTime();
@@ -122,6 +128,9 @@
     void addRunner(const std::string &service);
     void registerRunner(const RunnerPlace &runner);
     void removeRunner(const std::string &id);
+    // Changes the runner's behaviour after this time, if it is still there.
+    void changeRunnerLater(const std::string &id, kernel::Duration time,
+                           std::function<void(platform::testing::RunnerBehaviour &)> change);
     void onRunnerCrash(const std::string &id, const platform::testing::ReceivedRequest &request);
     void endRunner(const std::string &id);
     void countRuns(const RunnerPlace &runner);
