Soak: a crashed runner's address refuses connections at once; SIGHUP goes to routers that can take it

- "a request that crashes runners is known everywhere after 3 s", crash 7: of three crashes at one router two were counted.
A runner that crashed closed its connections some milliseconds before the proxy in front of it stopped listening; the router's probe connected to the proxy and took the runner for alive (UpstreamReturned 4 ms after the loss).
The listener of a process that crashes goes with it, so the proxy now stops listening first.
- "no process ends by itself", signal 1: SIGHUP 0.2 s after the start reached a router whose program had not begun to run (no line of it in the log; load average 13).
No program can take a signal before that.
The soak now asks the kernel whether the process still has the default action, in place of a fixed time, so SIGHUP also comes earlier than before.

--- a/soak/childprocess.cpp
+++ b/soak/childprocess.cpp
@@ -2,7 +2,9 @@
 
 #include <cerrno>
 #include <csignal>
+#include <cstdint>
 #include <cstring>
+#include <fstream>
 #include <stdexcept>
 
 #include <fcntl.h>
@@ -67,6 +69,19 @@
         kill(m_pid, number);
 }
 
+bool ChildProcess::hasDefaultAction(int number) const
+{
+    // Both lines hold a name of this length and a hexadecimal mask of signals.
+    constexpr std::size_t nameLength = 7;
+    std::ifstream status("/proc/" + std::to_string(m_pid) + "/status");
+    std::uint64_t handled = 0;
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("SigIgn:") || line.starts_with("SigCgt:"))
+            handled |= std::stoull(line.substr(nameLength), nullptr, 16);
+    }
+    return (handled >> (number - 1) & 1U) == 0;
+}
+
 bool ChildProcess::running()
 {
     if (!m_ending.empty())
--- a/soak/childprocess.h
+++ b/soak/childprocess.h
@@ -20,6 +20,9 @@
 
     /// Sends a signal unless the process has exited.
     void signal(int number);
+    /// Returns whether the process neither handles nor ignores the signal, as before its program
+    /// has begun to run.
+    bool hasDefaultAction(int number) const;
     /// Checks and returns whether the process still runs.
     bool running();
     /// How the process ended, such as "exit 0" or "signal 9"; empty while it runs.
--- a/soak/loopbackproxy.cpp
+++ b/soak/loopbackproxy.cpp
@@ -209,7 +209,13 @@
 
 LoopbackProxy::~LoopbackProxy()
 {
-    h2o_socket_close(m_listener);
+    stopListening();
+}
+
+void LoopbackProxy::stopListening()
+{
+    if (m_listener != nullptr)
+        h2o_socket_close(std::exchange(m_listener, nullptr));
 }
 
 void LoopbackProxy::accept()
--- a/soak/loopbackproxy.h
+++ b/soak/loopbackproxy.h
@@ -33,6 +33,8 @@
     const kernel::Endpoint &endpoint() const { return m_endpoint; }
     /// Sets the behaviour. Connections that have dropped bytes are reset.
     void setBehaviour(ProxyBehaviour behaviour);
+    /// Refuses new connections from now on; those that are open stay.
+    void stopListening();
     /// Resets all connections.
     void resetConnections();
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -22,8 +22,6 @@
 constexpr kernel::Duration stopTolerance = std::chrono::seconds(1);
 // Delay before a router that has exited is started again.
 constexpr kernel::Duration restartDelay = std::chrono::milliseconds(150);
-// Time from a process's start until it handles signals.
-constexpr kernel::Duration loadTime = std::chrono::milliseconds(200);
 // Time from a process's start until it serves.
 constexpr kernel::Duration startTime = std::chrono::milliseconds(800);
 // Time after which the store learns that a runner is gone.
@@ -125,7 +123,6 @@
         std::vector<std::string>{ m_options.routerProgram, "--settings", place.settingsFile },
         place.outputFile);
     ++place.processes;
-    place.startedAt = scheduler().now();
     place.endExpected = false;
     recordPlanned("start", startTime, number);
 }
@@ -155,7 +152,7 @@
 void World::reloadRouter(std::size_t number)
 {
     RouterPlace &place = m_routers[number];
-    if (place.process && scheduler().now() - place.startedAt > loadTime)
+    if (place.process && !place.process->hasDefaultAction(SIGHUP))
         place.process->signal(SIGHUP);
 }
 
@@ -325,6 +322,10 @@
 void World::onRunnerCrash(const std::string &id, const platform::testing::ReceivedRequest &request)
 {
     recordUnplanned("runner crashed at " + request.id, lapseTime);
+    // A crashed process refuses connections before others see that it is gone.
+    const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
+    if (found != m_runners.end())
+        (*found)->path->stopListening();
     m_timers.emplace_back(scheduler(), kernel::Duration{}, [this, id] { endRunner(id); });
     if (m_onRunnerCrash)
         m_onRunnerCrash(request.id, request.body);
@@ -352,6 +353,7 @@
         return;
     countRuns(**found);
     endLimit(**found);
+    (*found)->path->stopListening();
     (*found)->path->resetConnections();
     m_runners.erase(found);
 }
--- a/soak/world.h
+++ b/soak/world.h
@@ -45,7 +45,6 @@
     int processes = 0;
     /// Whether the process was told to stop or was killed, so that its exit is expected.
     bool endExpected = false;
-    kernel::Instant startedAt{};
     kernel::Instant stopBy{};
     kernel::Timer restart;
     kernel::Timer resume;
