--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -90,7 +90,7 @@
         handlers.onHead = [this](const http::ClientHead &head) {
             m_asked->status = head.status;
             m_asked->headAt = m_owner.m_loop.scheduler().now();
-            m_asked->stamp = http::findHeader(head.headers, "x-response-stamp").value_or("");
+            m_asked->stamp = platform::testing::readStamp(head.headers);
             m_closing = http::findHeader(head.headers, "connection") == "close";
         };
         handlers.onBody = [this](std::string_view piece) { m_asked->body += piece; };
