Soak: arrivals are kept once, requests indexed once, runners found in one place

No check or bound changes. A limited period kept a copy of the runner's arrivals that Record::arrivals holds already; the index of requests by id was written twice, and built anew for each limited period; a runner was looked up by its id in seven places; restoring a runner made a new behaviour and copied five fields back, in place of setting back the four that faults change.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -160,20 +160,17 @@
                         between(5s, 12s));
 }
 
-void Faults::restoreRunner(const std::string &runner)
+// Ends the faults of a runner; its notices and its limit stay.
+void Faults::restoreRunner(const std::string &id)
 {
-    for (const auto &one : m_world.runners()) {
-        if (one->id != runner)
-            continue;
-        RunnerBehaviour good;
-        good.eventsPerStream = one->standin->behaviour().eventsPerStream;
-        good.work = World::workTime();
-        good.crashBodyPrefix = crashingBody;
-        good.limitPerSecond = one->standin->behaviour().limitPerSecond;
-        good.announcesLeaving = one->standin->behaviour().announcesLeaving;
-        good.retryAfterSeconds = one->standin->behaviour().retryAfterSeconds;
-        one->standin->behaviour() = good;
-    }
+    RunnerPlace *runner = m_world.findRunner(id);
+    if (runner == nullptr)
+        return;
+    RunnerBehaviour &behaviour = runner->standin->behaviour();
+    behaviour.work = World::workTime();
+    behaviour.resetEvery = 0;
+    behaviour.refuseEvery = 0;
+    behaviour.failEvery = 0;
 }
 
 void Faults::degradeRunnerPath()
@@ -194,10 +191,8 @@
     m_world.recordPathTrouble(runner.id, time);
     runner.path->setBehaviour(behaviour);
     later(time, [this, id = runner.id] {
-        for (const auto &one : m_world.runners()) {
-            if (one->id == id)
-                one->path->setBehaviour(ProxyBehaviour::Pass);
-        }
+        if (RunnerPlace *place = m_world.findRunner(id))
+            place->path->setBehaviour(ProxyBehaviour::Pass);
     });
 }
 
--- a/soak/faults.h
+++ b/soak/faults.h
@@ -27,7 +27,7 @@
     void degradeRunner();
     void degradeService();
     void limitRunner();
-    void restoreRunner(const std::string &runner);
+    void restoreRunner(const std::string &id);
     void degradeRunnerPath();
     void degradeStore();
     void degradeStorePath();
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -136,18 +136,17 @@
 }
 
 // Returns the arrivals from undisturbed routers that had received the limit.
-std::vector<kernel::Instant> boundArrivals(const Record &record, const LimitedTime &limited)
+std::vector<kernel::Instant> boundArrivals(const Record &record, const LimitedTime &limited,
+                                           const AskedById &byId)
 {
-    std::map<std::string, const Asked *> byId;
-    for (const Asked &asked : record.asked)
-        byId[asked.id] = &asked;
-    std::map<std::pair<std::size_t, int>, kernel::Instant> firstArrivals;
+    std::map<Process, kernel::Instant> firstArrivals;
     std::vector<kernel::Instant> result;
-    for (const auto &[time, request] : limited.arrivals) {
-        const auto asked = byId.find(request);
-        if (asked == byId.end())
+    for (const auto &arrival : record.arrivals.at(limited.runner)) {
+        const kernel::Instant time = arrival.time;
+        const auto asked = byId.find(arrival.request);
+        if (time < limited.from || time > limited.to || asked == byId.end())
             continue;
-        const std::pair process{ asked->second->router, asked->second->process };
+        const Process process = processOf(*asked->second);
         const kernel::Instant first = firstArrivals.try_emplace(process, time).first->second;
         const bool told = time - first >= limitNotice;
         if (told && time >= limited.from + limitEffectTime
@@ -160,8 +159,9 @@
 void judgeLimits(const Record &record, std::vector<std::string> &broken)
 {
     Findings limits("the routers together keep the limit that a runner names", broken);
+    const AskedById byId = indexById(record);
     for (const LimitedTime &limited : record.limited) {
-        const std::vector<kernel::Instant> arrivals = boundArrivals(record, limited);
+        const std::vector<kernel::Instant> arrivals = boundArrivals(record, limited, byId);
         const double allowed
             = limitFactor * limited.perSecond * kernel::toSeconds(limitWindow) + limitSlack;
         for (const kernel::Instant start : arrivals) {
@@ -179,6 +179,19 @@
 
 } // namespace
 
+Process processOf(const Asked &asked)
+{
+    return { asked.router, asked.process };
+}
+
+AskedById indexById(const Record &record)
+{
+    AskedById byId;
+    for (const Asked &asked : record.asked)
+        byId[asked.id] = &asked;
+    return byId;
+}
+
 bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
                        kernel::Instant to)
 {
--- a/soak/record.h
+++ b/soak/record.h
@@ -60,8 +60,6 @@
     double perSecond = 0;
     kernel::Instant from{};
     kernel::Instant to{};
-    /// Times of the arrivals in this period, with the requests' ids.
-    std::vector<std::pair<kernel::Instant, std::string>> arrivals;
 };
 
 /// Observations of one run, from which the promises are checked.
@@ -85,6 +83,13 @@
     std::vector<std::string> broken;
 };
 
+/// A router process, by the numbers of its router and of its start.
+using Process = std::pair<std::size_t, int>;
+Process processOf(const Asked &asked);
+
+using AskedById = std::map<std::string, const Asked *>;
+AskedById indexById(const Record &record);
+
 /// Returns whether a restart, a pause or another fault affected this router in the period.
 bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
                        kernel::Instant to);
--- a/soak/runnernotices.cpp
+++ b/soak/runnernotices.cpp
@@ -31,24 +31,6 @@
 // Trouble of a router or of the path to a runner is felt this long after its end.
 constexpr kernel::Duration aftermath = 1s;
 
-// A router process, by the numbers of its router and of its start.
-using Process = std::pair<std::size_t, int>;
-
-Process processOf(const Asked &asked)
-{
-    return { asked.router, asked.process };
-}
-
-using AskedById = std::map<std::string, const Asked *>;
-
-AskedById indexById(const Record &record)
-{
-    AskedById byId;
-    for (const Asked &asked : record.asked)
-        byId[asked.id] = &asked;
-    return byId;
-}
-
 bool isPathHarmed(const Record &record, const std::string &runner, kernel::Instant from,
                   kernel::Instant to)
 {
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -274,9 +274,8 @@
                               std::function<void(platform::testing::RunnerBehaviour &)> change)
 {
     m_timers.emplace_back(scheduler(), time, [this, id, change = std::move(change)] {
-        const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
-        if (found != m_runners.end())
-            change((*found)->standin->behaviour());
+        if (RunnerPlace *runner = findRunner(id))
+            change(runner->standin->behaviour());
     });
 }
 
@@ -288,9 +287,8 @@
     runner.limitedSince = scheduler().now();
     runner.standin->behaviour().limitPerSecond = perSecond;
     m_timers.emplace_back(scheduler(), time, [this, id = runner.id] {
-        const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
-        if (found != m_runners.end())
-            endLimit(**found);
+        if (RunnerPlace *place = findRunner(id))
+            endLimit(*place);
     });
 }
 
@@ -299,14 +297,8 @@
     if (!runner.limitedSince)
         return;
     const std::string text = std::exchange(runner.standin->behaviour().limitPerSecond, {});
-    LimitedTime limited{
-        runner.id, std::atof(text.c_str()), *runner.limitedSince, scheduler().now(), {}
-    };
-    for (const auto &arrival : runner.standin->arrivals()) {
-        if (arrival.time >= limited.from)
-            limited.arrivals.emplace_back(arrival.time, arrival.request);
-    }
-    m_record.limited.push_back(std::move(limited));
+    m_record.limited.push_back(
+        { runner.id, std::atof(text.c_str()), *runner.limitedSince, scheduler().now() });
     runner.limitedSince.reset();
 }
 
@@ -323,21 +315,26 @@
 {
     recordUnplanned("runner crashed at " + request.id, lapseTime);
     // A crashed process refuses connections before others see that it is gone.
-    const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
-    if (found != m_runners.end())
-        (*found)->path->stopListening();
+    if (RunnerPlace *runner = findRunner(id))
+        runner->path->stopListening();
     m_timers.emplace_back(scheduler(), kernel::Duration{}, [this, id] { endRunner(id); });
     if (m_onRunnerCrash)
         m_onRunnerCrash(request.id, request.body);
 }
 
-void World::endRunner(const std::string &id)
+RunnerPlace *World::findRunner(const std::string &id)
 {
     const auto found = std::ranges::find(m_runners, id, &RunnerPlace::id);
-    if (found == m_runners.end())
+    return found == m_runners.end() ? nullptr : found->get();
+}
+
+void World::endRunner(const std::string &id)
+{
+    const RunnerPlace *runner = findRunner(id);
+    if (runner == nullptr)
         return;
-    const std::string service = (*found)->service;
-    const bool wasLeaving = (*found)->leaving;
+    const std::string service = runner->service;
+    const bool wasLeaving = runner->leaving;
     removeRunner(id);
     m_timers.emplace_back(scheduler(), lapseTime, [this, id] { m_store.remove("servers", id); });
     if (!wasLeaving) {
--- a/soak/world.h
+++ b/soak/world.h
@@ -76,6 +76,8 @@
     std::vector<RouterPlace> &routers() { return m_routers; }
     std::vector<std::unique_ptr<RunnerPlace>> &runners() { return m_runners; }
     Record &record() { return m_record; }
+    /// Returns nullptr if the runner has ended.
+    RunnerPlace *findRunner(const std::string &id);
 
     /// Writes the next configuration, with or without the extra route.
     void configure(bool withExtraRoute);
