--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -134,6 +134,10 @@
                    });
     registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
                    [this] { return static_cast<double>(m_adapter.storeCalls()); });
+    registry.gauge("acaciasail_store_age_seconds",
+                   "Time since the store last showed that all changes are known, for the kind of "
+                   "object where it is longest",
+                   [this] { return kernel::toSeconds(m_adapter.ageOfKnowledge()); });
     registry.gauge("acaciasail_upstream_connections_opened",
                    "Connections that the router opened to upstreams and to the store",
                    [this] { return static_cast<double>(m_client.connectionsOpened()); });
--- a/src/forwarding/internal/directory.cpp
+++ b/src/forwarding/internal/directory.cpp
@@ -67,7 +67,10 @@
 DirectoryChange putUpstream(Directory &directory, const Upstream &upstream)
 {
     const auto [at, added] = directory.upstreams.try_emplace(upstream.id);
+    const bool isSame = !added && at->second.entry == upstream && !at->second.removalDueAt;
     at->second = { upstream, std::nullopt };
+    if (isSame)
+        return DirectoryChange::None;
     return added ? DirectoryChange::Added : DirectoryChange::Changed;
 }
 
@@ -89,23 +92,29 @@
     return DirectoryChange::RemovalDeferred;
 }
 
-void replaceUpstreams(Directory &directory, const std::vector<Upstream> &upstreams,
-                      kernel::Instant now)
+std::vector<ListedChange>
+replaceUpstreams(Directory &directory, const std::vector<Upstream> &upstreams, kernel::Instant now)
 {
+    std::vector<ListedChange> changes;
+    const auto record = [&changes](const kernel::UpstreamId &id, DirectoryChange change) {
+        if (change != DirectoryChange::None)
+            changes.push_back({ id, change });
+    };
     std::set<kernel::UpstreamId> listed;
     for (const Upstream &upstream : upstreams)
         listed.insert(upstream.id);
     endGraceIfStillRegistered(directory, listed, now);
     for (const Upstream &upstream : upstreams)
-        putUpstream(directory, upstream);
+        record(upstream.id, putUpstream(directory, upstream));
     std::vector<kernel::UpstreamId> gone;
     for (const auto &[id, known] : directory.upstreams) {
         if (!listed.contains(id))
             gone.push_back(id);
     }
     for (const kernel::UpstreamId &id : gone)
-        removeUpstream(directory, id, now);
+        record(id, removeUpstream(directory, id, now));
     directory.upstreamsKnown = true;
+    return changes;
 }
 
 std::vector<kernel::UpstreamId> removeExpired(Directory &directory, kernel::Instant now)
--- a/src/forwarding/internal/directory.h
+++ b/src/forwarding/internal/directory.h
@@ -58,14 +58,22 @@
                                  std::shared_ptr<const Configuration> configuration,
                                  kernel::Revision revision, kernel::Instant now);
 
+/// Stores a registration; it no longer counts as removed.
 DirectoryChange putUpstream(Directory &directory, const Upstream &upstream);
 /// Handles the removal of a registration.
 DirectoryChange removeUpstream(Directory &directory, const kernel::UpstreamId &id,
                                kernel::Instant now);
+/// One upstream whose registration a list changed.
+struct ListedChange
+{
+    kernel::UpstreamId upstream;
+    DirectoryChange change = DirectoryChange::None;
+};
+
 /// Replaces the registrations by a complete list; upstreams that the list does not contain count as
-/// removed.
-void replaceUpstreams(Directory &directory, const std::vector<Upstream> &upstreams,
-                      kernel::Instant now);
+/// removed. Returns what changed.
+std::vector<ListedChange>
+replaceUpstreams(Directory &directory, const std::vector<Upstream> &upstreams, kernel::Instant now);
 /// Removes the upstreams whose grace period has expired, and returns their ids.
 std::vector<kernel::UpstreamId> removeExpired(Directory &directory, kernel::Instant now);
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -102,18 +102,30 @@
 
 void Forwarder::setUpstreams(const std::vector<Upstream> &upstreams)
 {
-    replaceUpstreams(m_state.directory, upstreams, m_state.scheduler.now());
+    const std::vector<ListedChange> changes
+        = replaceUpstreams(m_state.directory, upstreams, m_state.scheduler.now());
     for (const Upstream &upstream : upstreams)
         recordProcessStart(upstream);
+    logListedChanges(changes);
     kernel::logEvent(kernel::EventId::UpstreamsListed, { { "upstreams", upstreams.size() } });
     pruneRecords();
 }
 
+void Forwarder::logListedChanges(const std::vector<ListedChange> &changes) const
+{
+    for (const ListedChange &listed : changes) {
+        const auto known = m_state.directory.upstreams.find(listed.upstream);
+        const bool isKnown = known != m_state.directory.upstreams.end();
+        logUpstream(listed.upstream, listed.change, isKnown ? &known->second.entry : nullptr);
+    }
+}
+
 void Forwarder::setUpstream(const Upstream &upstream)
 {
     const DirectoryChange change = putUpstream(m_state.directory, upstream);
     recordProcessStart(upstream);
-    logUpstream(upstream.id, change, &upstream);
+    if (change != DirectoryChange::None)
+        logUpstream(upstream.id, change, &upstream);
 }
 
 // A process that restarted under the same id has none of its predecessor's state.
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -107,6 +107,7 @@
                          const kernel::Completion<kernel::Done> &outcome);
     void onProbeFailed(const kernel::UpstreamId &id, kernel::ResultCode code);
     void probeDataCentreIfSeveralUnreachable(const kernel::DataCentreId &dataCentre);
+    void logListedChanges(const std::vector<ListedChange> &changes) const;
     void recordProcessStart(const Upstream &upstream);
     void pruneRecords();
 
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -127,6 +127,8 @@
     /// Start time of the process. A process with another start time under the same id has none of
     /// the state of the previous process.
     std::int64_t startedAtMs = 0;
+
+    bool operator==(const Upstream &) const = default;
 };
 
 /// Progress of a roll-out.
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -59,6 +59,7 @@
     StoreUp = 5002,
     StoreCallFailed = 5003,
     ObjectIgnored = 5004,
+    ObjectsListed = 5005,
     ConfigurationApplied = 5101,
     UpstreamRegistration = 5102,
     UpstreamsListed = 5103,
