--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -30,6 +30,13 @@
     return { info.st_ino, info.st_size, info.st_mtim.tv_sec * nsPerSecond + info.st_mtim.tv_nsec };
 }
 
+// The upstreams that the store lists as leaving must be known within their leave time, and whatever
+// the store holds within `maxStoreAge`, also if a call was lost.
+platform::WatchOptions upstreamWatchOptions(const RouterSettings &settings)
+{
+    return { .minInterval = settings.forwarding.leaveTime / 2, .wait = settings.maxStoreAge / 3 };
+}
+
 } // namespace
 
 Router::Router(http::EventLoop &loop, RouterSettings settings, std::string settingsFile)
@@ -39,7 +46,7 @@
     , m_settingsStamp(readFileStamp(m_settingsFile))
     , m_client(m_loop)
     , m_adapter(sender(), m_loop.scheduler(), m_settings.store, m_settings.forwarding.vm,
-                m_settings.forwarding.leaveTime / 2, kernel::systemRandom())
+                upstreamWatchOptions(m_settings), kernel::systemRandom())
     , m_forwarder(m_loop.scheduler(), makeForwarderCallbacks(), m_settings.forwarding,
                   kernel::systemRandom())
 {}
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -72,6 +72,8 @@
     settings.readinessListen = reader.requiredEndpoint("readiness.listen");
     settings.metricsListen = reader.endpoint("metrics.listen", {});
     settings.store = reader.requiredEndpoint("store.address");
+    settings.maxStoreAge = reader.milliseconds("store.max_age_ms", settings.maxStoreAge,
+                                               { 1000, millisecondsPerMinute });
     settings.forwarding.leaveTime = reader.milliseconds("upstreams.leave_ms", defaultLeaveTime,
                                                         { 100, millisecondsPerMinute });
     settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -16,6 +16,8 @@
     kernel::Endpoint readinessListen;
     kernel::Endpoint metricsListen;
     kernel::Endpoint store;
+    /// Upper bound of the age of what the router knows of the store while it can reach the store.
+    kernel::Duration maxStoreAge = std::chrono::seconds(3);
     std::size_t maxConnections = 0;
     /// Maximum time from SIGTERM to the exit of the process.
     kernel::Duration stopTimeout{};
