A request that was given up is reset, so that it can't reach its upstream after a partition

What callers saw: DRAIN, a request that its router had given up in a partition reached its upstream 3 s after the partition had ended and the upstream had said that it leaves.

Cause: a connection that was given up was closed in good order, which leaves the bytes on their way; they are sent again until the path is back.

Fix: an exchange that ends before its answer is whole closes its connection by a reset. Tests failed before: ClientFaults.RequestThatWasGivenUpCannotArriveLater, RequestWithoutAnswerInTimeCannotArriveLater.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -228,6 +228,7 @@
             end(kernel::Error{ kernel::ResultCode::UpstreamProtocol, "the answer is malformed" });
             return;
         }
+        m_complete = true;
         if (!connectionSpent && m_parser.keepAlive()) {
             if (m_writing)
                 linger();
@@ -316,10 +317,19 @@
         if (m_lingering)
             m_timer = kernel::Timer(scheduler(), lingerTime, [this] { endLinger(false); });
         else
-            m_socket.reset();
+            closeConnection();
         m_handlers = {};
     }
 
+    // Bytes of a request that was given up must not arrive after a partition has healed, when its
+    // upstream may be leaving; an orderly end would still deliver them.
+    void closeConnection()
+    {
+        if (m_socket && !m_complete)
+            resetOnClose(h2o_socket_get_fd(m_socket.get()));
+        m_socket.reset();
+    }
+
     AnswerParser::State parse(std::string_view bytes)
     {
         m_inCallback = true;
@@ -368,6 +378,8 @@
     bool m_paused = false;
     bool m_headSeen = false;
     bool m_inCallback = false;
+    // Whether the whole answer has been read.
+    bool m_complete = false;
     std::shared_ptr<ExchangeState> m_lingering;
     bool m_ended = false;
 };
--- a/src/framework/http/internal/sockettimeouts.cpp
+++ b/src/framework/http/internal/sockettimeouts.cpp
@@ -28,4 +28,10 @@
                sizeof unacknowledgedMilliseconds);
 }
 
+void resetOnClose(int fd)
+{
+    const linger now{ .l_onoff = 1, .l_linger = 0 };
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+}
+
 } // namespace acaciasail::http
--- a/src/framework/http/internal/sockettimeouts.h
+++ b/src/framework/http/internal/sockettimeouts.h
@@ -6,4 +6,7 @@
 /// small pieces at once.
 void setConnectionTimeouts(int fd);
 
+/// Makes the close of a connection a reset: bytes that the peer has not got yet are dropped.
+void resetOnClose(int fd);
+
 } // namespace acaciasail::http
--- a/src/framework/http/tests/clientfaults_tests.cpp
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -27,6 +27,7 @@
         m_body.clear();
         ClientRequest request{ .endpoint = m_server.endpoint() };
         request.maxIdle = maxIdle;
+        request.totalTimeout = m_totalTimeout;
         request.headers.push_back({ "x-id", "7" });
         request.echoedHeader = "x-id";
         m_exchange = m_client.send(
@@ -54,6 +55,7 @@
     std::optional<kernel::Completion<kernel::Done>> m_end;
     std::string m_body;
     int m_status = 0;
+    kernel::Duration m_totalTimeout{};
     bool m_sent = false;
 };
 
@@ -169,6 +171,30 @@
 }
 
 // Whatever an upstream sends without end, the request ends truthfully and little of it is held.
+TEST_F(ClientFaults, RequestThatWasGivenUpCannotArriveLater)
+{
+    send();
+    m_server.awaitRequest();
+    m_exchange = nullptr;
+    EXPECT_TRUE(m_server.awaitReset())
+        << "an orderly end would deliver the bytes after a partition";
+    send();
+    m_server.awaitRequest();
+    m_server.send(whole.substr(0, whole.size() - 1));
+    m_loop.runUntil([&] { return m_status == 200; }, patience);
+    m_exchange = nullptr;
+    EXPECT_TRUE(m_server.awaitReset());
+}
+
+TEST_F(ClientFaults, RequestWithoutAnswerInTimeCannotArriveLater)
+{
+    m_totalTimeout = 50ms;
+    send();
+    m_server.awaitRequest();
+    EXPECT_EQ(end(), kernel::ResultCode::UpstreamTimeout);
+    EXPECT_TRUE(m_server.awaitReset());
+}
+
 TEST_F(ClientFaults, AHeadWithoutEndIsNoAnswer)
 {
     const std::string line = "x-more: " + std::string(8000, 'a') + "\r\n";
--- a/src/framework/http/tests/rawserver.cpp
+++ b/src/framework/http/tests/rawserver.cpp
@@ -1,6 +1,7 @@
 #include "http/tests/rawserver.h"
 
 #include <array>
+#include <cerrno>
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -66,6 +67,20 @@
         ::close(std::exchange(m_connection, -1));
 }
 
+bool RawServer::awaitReset()
+{
+    bool isReset = false;
+    m_loop.runUntil(
+        [&] {
+            char byte = 0;
+            const ssize_t count = recv(m_connection, &byte, 1, MSG_DONTWAIT);
+            isReset = count < 0 && errno == ECONNRESET;
+            return isReset || count == 0;
+        },
+        patience);
+    return isReset;
+}
+
 void RawServer::reset()
 {
     const linger now{ 1, 0 };
--- a/src/framework/http/tests/rawserver.h
+++ b/src/framework/http/tests/rawserver.h
@@ -26,6 +26,9 @@
     void close();
     /// Resets the newest connection.
     void reset();
+    /// Runs the loop until the newest connection has ended, or five seconds passed; returns whether
+    /// the client reset it.
+    bool awaitReset();
     std::size_t connections() const { return m_accepted; }
 
 private:
