Soak: silences that end just before changes, connections that stay silent, bytes that arrive late

The soak's proxy reset every connection that had lost bytes as soon as a fault ended, and its runners announced their leaving in their responses too, so a router never had to find out by itself.

--- a/soak/loopbackproxy.cpp
+++ b/soak/loopbackproxy.cpp
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr kernel::Duration slowDelay = std::chrono::milliseconds(40);
+// Held bytes arrive this long after the path is back, as senders repeat them less and less often.
+constexpr kernel::Duration heldDelay = std::chrono::milliseconds(3200);
 
 // Closes a connection with a TCP reset, as a restarted machine does.
 void resetSocket(h2o_socket_t *socket)
@@ -69,7 +71,19 @@
         return true;
     }
 
-    bool hasLostBytes() const { return m_lostBytes; }
+    bool hasLostBytes() const { return m_lostBytes && !m_deaf; }
+
+    // Drops all bytes from now on if some were dropped before.
+    void stayDeaf() { m_deaf = m_lostBytes; }
+
+    // Delivers the bytes that were held, after a delay.
+    void release()
+    {
+        for (const std::size_t to : { 0U, 1U }) {
+            m_ends[to].timer
+                = kernel::Timer(m_proxy.m_loop.scheduler(), heldDelay, [this, to] { pump(to); });
+        }
+    }
 
 private:
     // Bytes that wait to be sent to one side.
@@ -131,12 +145,14 @@
 
     bool loses(std::size_t from) const
     {
-        return m_proxy.m_behaviour == ProxyBehaviour::Silent
+        return m_deaf || m_proxy.m_behaviour == ProxyBehaviour::Silent
                || (m_proxy.m_behaviour == ProxyBehaviour::OneWay && from == 1);
     }
 
     void schedule(std::size_t to)
     {
+        if (m_proxy.m_behaviour == ProxyBehaviour::Held)
+            return;
         if (m_proxy.m_behaviour != ProxyBehaviour::Slow) {
             pump(to);
             return;
@@ -148,7 +164,9 @@
     void pump(std::size_t to)
     {
         End &end = m_ends[to];
-        if (!end.writing.empty() || end.socket == nullptr || (to == 1 && !m_serverConnected))
+        const bool held = m_proxy.m_behaviour == ProxyBehaviour::Held;
+        if (held || !end.writing.empty() || end.socket == nullptr
+            || (to == 1 && !m_serverConnected))
             return;
         if (end.queue.empty()) {
             if (end.closing)
@@ -186,6 +204,7 @@
     std::array<End, 2> m_ends;
     bool m_serverConnected = false;
     bool m_lostBytes = false;
+    bool m_deaf = false;
 };
 
 LoopbackProxy::LoopbackProxy(http::EventLoop &loop, kernel::Endpoint target)
@@ -236,7 +255,18 @@
 {
     if (behaviour != m_behaviour)
         std::erase_if(m_links, [](const auto &item) { return item.first->hasLostBytes(); });
-    m_behaviour = behaviour;
+    const bool releases = std::exchange(m_behaviour, behaviour) == ProxyBehaviour::Held;
+    if (releases && behaviour != ProxyBehaviour::Held) {
+        for (const auto &[link, owner] : m_links)
+            link->release();
+    }
+}
+
+void LoopbackProxy::passNewConnections()
+{
+    for (const auto &[link, owner] : m_links)
+        link->stayDeaf();
+    m_behaviour = ProxyBehaviour::Pass;
 }
 
 void LoopbackProxy::resetConnections()
--- a/soak/loopbackproxy.h
+++ b/soak/loopbackproxy.h
@@ -19,6 +19,9 @@
     OneWay,
     /// Bytes of both directions are dropped; new connections are accepted and stay silent.
     Silent,
+    /// Bytes of both directions are kept, and delivered some time after the behaviour changes. A
+    /// client that resets its connection takes its bytes back.
+    Held,
 };
 
 /// Forwards the connections to a loopback address to another address.
@@ -33,6 +36,9 @@
     const kernel::Endpoint &endpoint() const { return m_endpoint; }
     /// Sets the behaviour. Connections that have dropped bytes are reset.
     void setBehaviour(ProxyBehaviour behaviour);
+    /// Forwards new connections. Those that have dropped bytes are not reset, and stay silent for
+    /// good.
+    void passNewConnections();
     /// Refuses new connections from now on; those that are open stay.
     void stopListening();
     /// Resets all connections.
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,6 +14,7 @@
 #include "crashingrequests.h"
 #include "faults.h"
 #include "runnernotices.h"
+#include "silences.h"
 
 namespace {
 
@@ -103,6 +104,9 @@
         std::optional<RunnerNotices> notices;
         if (!options.plannedOnly)
             notices.emplace(world, kernel::Random(random()));
+        std::optional<Silences> silences;
+        if (!options.plannedOnly)
+            silences.emplace(world, kernel::Random(random()));
         play(std::chrono::seconds(options.seconds));
         faults.stop();
         notices.reset();
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -4,6 +4,7 @@
 
 #include "findings.h"
 #include "runnernotices.h"
+#include "silences.h"
 
 namespace acaciasail::soak {
 
@@ -210,6 +211,7 @@
     judgeRepeats(record, repeats, broken);
     judgeLimits(record, broken);
     judgeNotices(record, broken);
+    judgeRegisteredLeaving(record, broken);
     return broken;
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -79,6 +79,9 @@
     std::map<std::string, std::vector<platform::testing::Arrival>> arrivals;
     /// Faults of the network path to each runner, by the runner's id.
     std::map<std::string, std::vector<Disturbance>> pathTrouble;
+    /// When the store accepted that a runner leaves, for runners that don't announce it in their
+    /// responses; by the runner's id.
+    std::map<std::string, kernel::Instant> registeredLeaving;
     /// Broken promises that were found during the run.
     std::vector<std::string> broken;
 };
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -28,6 +28,9 @@
 constexpr kernel::Duration lapseTime = std::chrono::milliseconds(600);
 // Time for which a leaving runner keeps serving.
 constexpr kernel::Duration leaveTime = std::chrono::milliseconds(3500);
+// A runner whose registration alone says that it leaves ends after this time, which is long enough
+// for late requests to show.
+constexpr kernel::Duration registeredLeaveTime = std::chrono::seconds(7);
 // A runner that announces its leaving only in its responses ends after this time.
 constexpr kernel::Duration unregisteredLeaveTime = std::chrono::seconds(5);
 constexpr kernel::Duration newRunnerDelay = std::chrono::milliseconds(300);
@@ -244,6 +247,22 @@
     });
 }
 
+void World::registerLeaving(const std::string &id)
+{
+    RunnerPlace *runner = findRunner(id);
+    if (runner == nullptr || runner->leaving)
+        return;
+    runner->leaving = true;
+    registerRunner(*runner);
+    m_record.registeredLeaving[id] = scheduler().now();
+    recordPlanned("runner leaves", registeredLeaveTime);
+    addRunner(runner->service);
+    m_timers.emplace_back(scheduler(), registeredLeaveTime, [this, id] {
+        m_store.remove("servers", id);
+        removeRunner(id);
+    });
+}
+
 void World::announceLeaving(std::size_t index, kernel::Duration time)
 {
     RunnerPlace &runner = *m_runners[index];
--- a/soak/world.h
+++ b/soak/world.h
@@ -93,6 +93,9 @@
     /// Replaces a runner as the platform does: it registers as leaving, and ends some seconds
     /// later.
     void replaceRunner(std::size_t index);
+    /// The registration of a runner says that it leaves, its responses don't. Some seconds later it
+    /// ends.
+    void registerLeaving(const std::string &id);
     /// A runner announces in its responses, for this time, that it leaves; its registration does
     /// not say so. Some seconds later it ends.
     void announceLeaving(std::size_t index, kernel::Duration time);
