Library storewatch: the watchers decide when to read the store, so they belong to the product

The store's client there supplies the calls (StoreReader); the tests answer them without a wire. Tests of routers on loopback that name nothing of the wire are beside the router. No change of behaviour.

--- a/platform/tests/loopbackrouters.cpp
+++ b/src/app/router/tests/loopbackrouters.cpp
@@ -1,4 +1,4 @@
-#include "loopbackrouters.h"
+#include "router/tests/loopbackrouters.h"
 
 #include <gtest/gtest.h>
 
--- a/platform/tests/requestlimit_tests.cpp
+++ b/src/app/router/tests/requestlimit_tests.cpp
@@ -3,8 +3,8 @@
 
 #include <gtest/gtest.h>
 
-#include "loopbackrouters.h"
 #include "platform/testing/wireforms.h"
+#include "router/tests/loopbackrouters.h"
 
 using namespace acaciasail;
 using namespace acaciasail::router;
--- a/platform/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -1,9 +1,9 @@
-#include "platform/kindwatcher.h"
+#include "storewatch/internal/kindwatcher.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 namespace {
 
@@ -41,10 +41,10 @@
     return "change_missed";
 }
 
-KindWatcher::KindWatcher(StoreClient &client, WatchCoordinator &coordinator,
+KindWatcher::KindWatcher(const StoreReader &reader, WatchCoordinator &coordinator,
                          const kernel::Scheduler &scheduler, kernel::Random random,
                          std::string kind, WatchOptions options, KindHandlers handlers)
-    : m_client(client)
+    : m_reader(reader)
     , m_coordinator(coordinator)
     , m_scheduler(scheduler)
     , m_random(random)
@@ -93,7 +93,7 @@
 {
     ListAttempt &attempt = m_listAttempts.at(number);
     const std::string after = attempt.objects.empty() ? "" : attempt.objects.back().name;
-    attempt.call = m_client.list(
+    attempt.call = m_reader.list(
         m_kind, after, connection,
         [this, number](const kernel::Completion<ObjectPage> &outcome) { onPage(number, outcome); });
     expectResponse(listResponseLimit);
@@ -138,7 +138,7 @@
     m_currentAt = attempt.startedAt;
     onSuccess();
     m_handlers.onList(attempt.objects);
-    m_coordinator.recordStoreRevision(storeRevision);
+    m_coordinator.recordNamedRevision(storeRevision);
     scheduleWatch();
 }
 
@@ -178,7 +178,7 @@
     const bool shortened = m_scheduler.now() < m_shortWatchesUntil;
     const kernel::Duration wait
         = shortened ? std::min(shortWatchTimeout, m_options.wait) : m_options.wait;
-    m_watch = m_client.watch(
+    m_watch = m_reader.watch(
         m_kind, m_revision, wait,
         [this](const kernel::Completion<ObjectPage> &outcome) { onEvents(outcome); });
     expectResponse(wait + watchResponseLimit);
@@ -198,7 +198,7 @@
     }
     m_reported = { std::max(m_revision, outcome.value().revision), m_scheduler.now() };
     onSuccess();
-    m_coordinator.recordStoreRevision(outcome.value().revision);
+    m_coordinator.recordNamedRevision(outcome.value().revision);
     scheduleWatch();
 }
 
@@ -312,4 +312,4 @@
                                                        { "age_ms", kernel::toMilliseconds(age) } });
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- a/platform/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -6,10 +6,10 @@
 #include <string_view>
 #include <vector>
 
-#include "platform/storeclient.h"
-#include "platform/watchcoordinator.h"
+#include "storewatch/internal/storereader.h"
+#include "storewatch/internal/watchcoordinator.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 /// Callbacks for the objects of one kind.
 struct KindHandlers
@@ -26,7 +26,7 @@
 struct WatchOptions
 {
     /// Minimum time between the starts of two watches. The next watch returns all changes made in
-    /// the meantime in one call, which saves cost, as the platform charges for each call of each
+    /// the meantime in one call, which saves cost, as a store may charge for each call of each
     /// router.
     kernel::Duration minInterval{};
     /// Time after which a watch returns without changes. It bounds the time for which a dead
@@ -52,7 +52,7 @@
 class KindWatcher
 {
 public:
-    KindWatcher(StoreClient &client, WatchCoordinator &coordinator,
+    KindWatcher(const StoreReader &reader, WatchCoordinator &coordinator,
                 const kernel::Scheduler &scheduler, kernel::Random random, std::string kind,
                 WatchOptions options, KindHandlers handlers);
     ~KindWatcher();
@@ -108,7 +108,7 @@
     void logFailure(const kernel::Error &error) const;
     void logListed(std::size_t objects, kernel::Revision knownBefore) const;
 
-    StoreClient &m_client;
+    const StoreReader &m_reader;
     WatchCoordinator &m_coordinator;
     const kernel::Scheduler &m_scheduler;
     kernel::Random m_random;
@@ -142,4 +142,4 @@
     kernel::Timer m_responseTimer;
 };
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- a/platform/seenrevisions.cpp
+++ b/src/storewatch/internal/seenrevisions.cpp
@@ -1,8 +1,8 @@
-#include "platform/seenrevisions.h"
+#include "storewatch/internal/seenrevisions.h"
 
 #include <iterator>
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 namespace {
 
@@ -31,4 +31,4 @@
     m_revisions.erase(m_revisions.begin(), m_revisions.upper_bound(revision));
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- a/platform/seenrevisions.h
+++ b/src/storewatch/internal/seenrevisions.h
@@ -4,7 +4,7 @@
 
 #include "kernel/kernel.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 /// The store's revisions whose change this router has seen, of any kind of object. The store
 /// numbers all its changes with one counter, so a revision that is missing here is a change that
@@ -23,4 +23,4 @@
     std::set<kernel::Revision> m_revisions;
 };
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- /dev/null
+++ b/src/storewatch/internal/storereader.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/kernel.h"
+
+namespace acaciasail::storewatch {
+
+/// One object of the store.
+struct StoredObject
+{
+    std::string name;
+    kernel::Revision revision;
+    /// JSON texts; "null" if the member is missing.
+    std::string spec;
+    std::string status;
+    bool removed = false;
+};
+
+/// The objects of one kind that one list or watch call returned.
+struct ObjectPage
+{
+    std::vector<StoredObject> objects;
+    /// Whether the list continues after the last object's name.
+    bool hasMore = false;
+    /// Number of objects that can't be read; they are left out.
+    std::size_t unreadable = 0;
+    /// The store's revision at the time of the call.
+    kernel::Revision revision;
+};
+
+/// Whether a call may use a connection that was kept from an earlier call.
+enum class Connection {
+    MayBeKept,
+    New,
+};
+
+/// A call in progress. Destroying it gives the call up, and its callback is not called any more; a
+/// call that has finished is not affected.
+class StoreCall
+{
+public:
+    StoreCall() = default;
+    /// `giveUp` does nothing if the call has finished; what it refers to must outlive this object.
+    explicit StoreCall(std::function<void()> giveUp)
+        : m_giveUp(std::move(giveUp))
+    {}
+    StoreCall(StoreCall &&other) noexcept
+        : m_giveUp(std::exchange(other.m_giveUp, nullptr))
+    {}
+    StoreCall &operator=(StoreCall &&other) noexcept
+    {
+        const StoreCall previous(std::exchange(m_giveUp, std::exchange(other.m_giveUp, nullptr)));
+        return *this;
+    }
+    StoreCall(const StoreCall &) = delete;
+    StoreCall &operator=(const StoreCall &) = delete;
+    ~StoreCall()
+    {
+        if (m_giveUp)
+            m_giveUp();
+    }
+
+    /// Returns whether the call has been started and has not been given up.
+    bool isOpen() const { return m_giveUp != nullptr; }
+
+private:
+    std::function<void()> m_giveUp;
+};
+
+/// The calls by which a store is read. Each call finishes with one response or error, also if the
+/// store is only slow; a watch's error WatchCompacted tells that the store no longer has all
+/// changes since the given revision.
+struct StoreReader
+{
+    /// Lists one page of a kind's objects: those after the name `after`, which is empty for the
+    /// first page.
+    std::function<StoreCall(const std::string &kind, const std::string &after,
+                            Connection connection, kernel::Callback<ObjectPage> callback)>
+        list;
+    /// Returns the changes of a kind after a revision, once there are any or after `wait`.
+    std::function<StoreCall(const std::string &kind, kernel::Revision after, kernel::Duration wait,
+                            kernel::Callback<ObjectPage> callback)>
+        watch;
+};
+
+} // namespace acaciasail::storewatch
--- a/platform/watchcoordinator.cpp
+++ b/src/storewatch/internal/watchcoordinator.cpp
@@ -1,11 +1,11 @@
-#include "platform/watchcoordinator.h"
+#include "storewatch/internal/watchcoordinator.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "platform/kindwatcher.h"
+#include "storewatch/internal/kindwatcher.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 void WatchCoordinator::remove(const KindWatcher &watcher)
 {
@@ -28,7 +28,7 @@
         watcher->resumeAfterProbe();
 }
 
-void WatchCoordinator::recordStoreRevision(kernel::Revision revision)
+void WatchCoordinator::recordNamedRevision(kernel::Revision revision)
 {
     m_storeRevision = { std::max(m_storeRevision.revision, revision), m_scheduler.now() };
     if (!m_comparisonPending)
@@ -68,4 +68,4 @@
         startComparison();
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- a/platform/watchcoordinator.h
+++ b/src/storewatch/internal/watchcoordinator.h
@@ -2,9 +2,9 @@
 
 #include <vector>
 
-#include "platform/seenrevisions.h"
+#include "storewatch/internal/seenrevisions.h"
 
-namespace acaciasail::platform {
+namespace acaciasail::storewatch {
 
 class KindWatcher;
 
@@ -16,8 +16,7 @@
 };
 
 /// What the watchers of one store tell each other, so that few calls show all of them whether they
-/// know the store's current state. The platform charges for each call to the store, even a refused
-/// one.
+/// know the store's current state. A store may charge for each call, even a refused one.
 ///
 /// - While the store is unreachable, one watcher probes it and the others wait.
 /// - Each response names the store's revision. If it includes a change that no watcher has seen,
@@ -46,7 +45,7 @@
     void recordChange(kernel::Revision revision) { m_seenRevisions.add(revision); }
     /// Records the store's revision as a response named it. The watchers compare it with what they
     /// know once the responses that are on their way have had time to arrive.
-    void recordStoreRevision(kernel::Revision revision);
+    void recordNamedRevision(kernel::Revision revision);
     /// Returns whether the watchers have seen all changes after the first revision, up to and
     /// including the second one.
     bool sawAllChanges(kernel::Revision after, kernel::Revision upTo) const
@@ -72,4 +71,4 @@
 /// after the response to another call that the store answered at the same time.
 constexpr kernel::Duration responseSpread = std::chrono::milliseconds(100);
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::storewatch
--- /dev/null
+++ b/src/storewatch/tests/kindwatcher_tests.cpp
@@ -0,0 +1,268 @@
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "storewatch/storewatch.h"
+
+using namespace acaciasail;
+using namespace acaciasail::storewatch;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A watcher on a manual clock; the test responds to its calls.
+class KindWatcherTest : public ::testing::Test
+{
+protected:
+    struct Call
+    {
+        std::string kind;
+        /// What is asked for: "list", "list after NAME" or "watch after REVISION for MILLISECONDS".
+        std::string question;
+        Connection connection = Connection::MayBeKept;
+        kernel::Callback<ObjectPage> callback;
+    };
+
+    KindWatcherTest()
+        : m_coordinator(m_clock.scheduler())
+        , m_watcher(m_reader, m_coordinator, m_clock.scheduler(), kernel::Random(1), "things",
+                    { 300ms },
+                    { [this](const std::vector<StoredObject> &) { ++m_listCount; },
+                      [this](const StoredObject &object) { m_changes.push_back(object.name); },
+                      [this](bool reachable) { m_reportedReachability.push_back(reachable); } })
+    {
+        m_clock.advance(10s);
+        m_watcher.start();
+    }
+
+    StoreReader makeReader()
+    {
+        const auto record = [this](Call call) {
+            m_calls.push_back(std::move(call));
+            return StoreCall([] {});
+        };
+        return {
+            .list =
+                [record](const std::string &kind, const std::string &after, Connection connection,
+                         kernel::Callback<ObjectPage> callback) {
+                    const std::string question = after.empty() ? "list" : "list after " + after;
+                    return record({ kind, question, connection, std::move(callback) });
+                },
+            .watch =
+                [record](const std::string &kind, kernel::Revision after, kernel::Duration wait,
+                         kernel::Callback<ObjectPage> callback) {
+                    const std::string question = "watch after " + std::to_string(after.count())
+                                                 + " for "
+                                                 + std::to_string(kernel::toMilliseconds(wait));
+                    return record({ kind, question, Connection::MayBeKept, std::move(callback) });
+                }
+        };
+    }
+
+    // Returns the callback of the newest call to the kind. It is copied, as a response may start
+    // the next call, which reallocates the calls.
+    kernel::Callback<ObjectPage> newestCallback(std::string_view kind) const
+    {
+        return std::ranges::find(m_calls.rbegin(), m_calls.rend(), kind, &Call::kind)->callback;
+    }
+    std::size_t callCount(std::string_view kind) const
+    {
+        return static_cast<std::size_t>(std::ranges::count(m_calls, kind, &Call::kind));
+    }
+    void respond(const ObjectPage &page, std::string_view kind = "things")
+    {
+        newestCallback(kind)(page);
+    }
+    void failCall(std::string_view kind = "things")
+    {
+        newestCallback(kind)(kernel::Error{ kernel::ResultCode::PlatformUnreachable, "test" });
+    }
+    static ObjectPage page(int revision, const std::vector<StoredObject> &objects = {})
+    {
+        return { .objects = objects, .revision = kernel::Revision(revision) };
+    }
+    static ObjectPage change(const std::string &name, int revision)
+    {
+        return page(revision, { { .name = name, .revision = kernel::Revision(revision) } });
+    }
+    const std::string &lastQuestion() const { return m_calls.back().question; }
+
+    kernel::ManualScheduler m_clock;
+    std::vector<Call> m_calls;
+    int m_listCount = 0;
+    std::vector<std::string> m_changes;
+    std::vector<bool> m_reportedReachability;
+    StoreReader m_reader = makeReader();
+    WatchCoordinator m_coordinator;
+    KindWatcher m_watcher;
+};
+
+} // namespace
+
+TEST_F(KindWatcherTest, WatchesFromListedRevision)
+{
+    EXPECT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list"));
+    respond(page(7));
+    EXPECT_EQ(m_listCount, 1);
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 20000");
+    respond(change("a", 8));
+    EXPECT_EQ(m_changes, std::vector<std::string>{ "a" });
+    EXPECT_EQ(m_calls.size(), 2U) << "the next watch waits for the minimum interval";
+    m_clock.advance(300ms);
+    EXPECT_EQ(lastQuestion(), "watch after 8 for 20000");
+    EXPECT_EQ(m_reportedReachability, std::vector<bool>{ true });
+}
+
+TEST_F(KindWatcherTest, ListsAgainIfNamedRevisionShowsUnseenChange)
+{
+    respond(page(7));
+    respond(change("a", 9));
+    EXPECT_EQ(m_changes, std::vector<std::string>{ "a" });
+    m_clock.advance(300ms);
+    EXPECT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list"))
+        << "nobody has seen the change with revision 8";
+    respond(page(9));
+    EXPECT_EQ(lastQuestion(), "watch after 9 for 20000");
+}
+
+TEST_F(KindWatcherTest, ChangeSeenByAnotherWatcherIsNotMissed)
+{
+    respond(page(7));
+    m_coordinator.recordChange(kernel::Revision(8));
+    respond(change("a", 9));
+    m_clock.advance(300ms);
+    EXPECT_EQ(lastQuestion(), "watch after 9 for 20000");
+}
+
+TEST_F(KindWatcherTest, OpenWatchThatMissesChangeIsGivenUp)
+{
+    respond(page(7));
+    m_clock.advance(5s);
+    // Another watcher's response names the store's revision.
+    m_coordinator.recordNamedRevision(kernel::Revision(8));
+    m_clock.advance(50ms);
+    EXPECT_EQ(callCount("things"), 2U) << "the watch's response may still arrive";
+    m_clock.advance(50ms);
+    EXPECT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list")) << lastQuestion();
+}
+
+TEST_F(KindWatcherTest, UnansweredWatchIsGivenUpAfterItsWait)
+{
+    respond(page(7));
+    m_clock.advance(20400ms);
+    m_clock.advance(50ms);
+    EXPECT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list")) << lastQuestion();
+    EXPECT_EQ(m_calls.back().connection, Connection::New) << "kept connections may be dead";
+    respond(page(9));
+    EXPECT_EQ(m_listCount, 2);
+}
+
+TEST_F(KindWatcherTest, UnansweredListIsStartedAgainAndTheFirstResponseCounts)
+{
+    const kernel::Callback<ObjectPage> first = newestCallback("things");
+    m_clock.advance(1250ms);
+    ASSERT_EQ(callCount("things"), 2U);
+    first(page(7));
+    EXPECT_EQ(m_listCount, 1) << "a slow store is read as well";
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 500");
+}
+
+TEST_F(KindWatcherTest, ReadsAllPages)
+{
+    ObjectPage first = change("m", 7);
+    first.hasMore = true;
+    respond(first);
+    EXPECT_EQ(lastQuestion(), "list after m");
+    EXPECT_EQ(m_listCount, 0);
+    respond(page(8));
+    EXPECT_EQ(m_listCount, 1);
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 20000")
+        << "changes made between the pages are returned";
+}
+
+// A watch that starts just as the store drops its record of past changes may return no
+// changes until its timeout.
+TEST_F(KindWatcherTest, ShortensWatchesAfterFailure)
+{
+    respond(page(7));
+    failCall();
+    m_clock.advance(100ms);
+    EXPECT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list"))
+        << "listed again after any failure";
+    respond(page(8));
+    m_clock.advance(300ms);
+    EXPECT_EQ(lastQuestion(), "watch after 8 for 500");
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(lastQuestion(), "watch after 8 for 500");
+        m_clock.advance(500ms);
+        respond(page(8));
+    }
+    respond(change("a", 9));
+    m_clock.advance(300ms);
+    EXPECT_EQ(lastQuestion(), "watch after 9 for 20000");
+}
+
+TEST_F(KindWatcherTest, SingleFailureIsNotAnOutage)
+{
+    respond(page(7));
+    failCall();
+    m_clock.advance(1s);
+    EXPECT_EQ(m_reportedReachability, std::vector<bool>{ true });
+    failCall();
+    EXPECT_EQ(m_reportedReachability, (std::vector<bool>{ true, false }));
+    m_clock.advance(1s);
+    respond(page(9));
+    EXPECT_EQ(m_reportedReachability, (std::vector<bool>{ true, false, true }));
+}
+
+TEST_F(KindWatcherTest, RetriesWithBackoffWithoutLimit)
+{
+    for (int i = 0; i < 50; ++i) {
+        const std::size_t calls = m_calls.size();
+        failCall();
+        m_clock.advance(800ms);
+        ASSERT_EQ(m_calls.size(), calls + 1);
+    }
+    m_clock.advance(1s);
+    respond(page(7));
+    EXPECT_EQ(m_listCount, 1);
+}
+
+TEST_F(KindWatcherTest, OnlyOneWatcherProbesUnreachableStore)
+{
+    failCall();
+    m_clock.advance(100ms);
+    failCall();
+    int otherLists = 0;
+    KindWatcher other(m_reader, m_coordinator, m_clock.scheduler(), kernel::Random(2), "others",
+                      { 300ms },
+                      { [&](const std::vector<StoredObject> &) { ++otherLists; },
+                        [](const StoredObject &) {}, [](bool) {} });
+    other.start();
+    EXPECT_TRUE((m_calls.back().kind == "others" && lastQuestion() == "list"));
+    failCall("others");
+    m_clock.advance(50ms);
+    EXPECT_TRUE((m_calls.back().kind == "others" && lastQuestion() == "list"))
+        << "a single failure may be a broken connection";
+    failCall("others");
+    m_clock.advance(50ms);
+    failCall();
+    const std::size_t otherCalls = callCount("others");
+    for (int i = 0; i < 20; ++i) {
+        m_clock.advance(800ms);
+        ASSERT_TRUE((m_calls.back().kind == "things" && lastQuestion() == "list"))
+            << lastQuestion();
+        failCall();
+    }
+    m_clock.advance(800ms);
+    EXPECT_EQ(callCount("others"), otherCalls);
+    respond(page(7));
+    EXPECT_EQ(callCount("others"), otherCalls + 1)
+        << "the waiting watcher lists as soon as the store responds";
+    respond(page(7), "others");
+    EXPECT_EQ(m_listCount, 1);
+    EXPECT_EQ(otherLists, 1);
+}
--- a/platform/tests/knowledgeage_tests.cpp
+++ b/src/storewatch/tests/knowledgeage_tests.cpp
@@ -3,19 +3,17 @@
 #include <algorithm>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include <gtest/gtest.h>
 
-#include <nlohmann/json.hpp>
-
-#include "platform/kindwatcher.h"
+#include "storewatch/storewatch.h"
 
 using namespace acaciasail;
-using namespace acaciasail::platform;
+using namespace acaciasail::storewatch;
 using namespace std::chrono_literals;
-using Json = nlohmann::json;
 
 namespace {
 
@@ -58,48 +56,34 @@
     }
     std::int64_t revisionOf(const std::string &kind) { return m_objects[kind]; }
 
-    std::unique_ptr<http::Exchange> send(const http::ClientRequest &request,
-                                         http::ClientHandlers handlers)
+    StoreReader reader()
     {
-        auto call = std::make_shared<Call>();
-        call->handlers = std::move(handlers);
-        const std::size_t query = request.path.find('?');
-        const std::string path = request.path.substr(0, query);
-        call->kind = path.substr(path.rfind('/') + 1);
-        const std::string parameters
-            = query == std::string::npos ? "" : request.path.substr(query + 1);
-        if (const auto after = http::queryParameter(parameters, "Watch"))
-            call->watchAfter = std::stoll(*after);
-        const bool keptConnection = request.maxIdle > kernel::Duration::zero();
-        call->lost = m_isCut
-                     || (keptConnection && m_keptConnectionsDead
-                         && kernel::uniformBelow(m_random, 2) == 0);
-        call->timeout = kernel::Timer(
-            m_scheduler, m_isCut && !keptConnection ? request.connectTimeout : request.totalTimeout,
-            [weak = std::weak_ptr(call)] { fail(weak); });
-        if (!call->lost) {
-            const auto wait = http::queryParameter(parameters, "WaitMs");
-            if (wait) {
-                call->answer = kernel::Timer(
-                    m_scheduler, std::chrono::milliseconds(std::stoll(*wait)) + responseTime,
-                    [this, call] { respond(call); });
-                answerWatch(call);
-            } else {
-                call->answer
-                    = kernel::Timer(m_scheduler, responseTime, [this, call] { respond(call); });
-            }
-        }
-        m_calls.push_back(call);
-        return std::make_unique<Handle>(*this, call);
+        return { .list =
+                     [this](const std::string &kind, const std::string &, Connection connection,
+                            kernel::Callback<ObjectPage> callback) {
+                         return start(std::make_shared<Call>(
+                                          Call{ .kind = kind, .callback = std::move(callback) }),
+                                      connection, kernel::Duration::zero());
+                     },
+                 .watch =
+                     [this](const std::string &kind, kernel::Revision after, kernel::Duration wait,
+                            kernel::Callback<ObjectPage> callback) {
+                         return start(std::make_shared<Call>(Call{ .kind = kind,
+                                                                   .callback = std::move(callback),
+                                                                   .watchAfter = after.count() }),
+                                      Connection::MayBeKept, wait);
+                     } };
     }
 
 private:
     static constexpr kernel::Duration responseTime = 4ms;
+    static constexpr kernel::Duration connectTimeout = 600ms;
+    static constexpr kernel::Duration callTimeout = 3s;
 
     struct Call
     {
-        http::ClientHandlers handlers;
         std::string kind;
+        kernel::Callback<ObjectPage> callback;
         std::optional<std::int64_t> watchAfter;
         bool lost = false;
         kernel::Timer timeout;
@@ -110,59 +94,56 @@
         std::string kind;
         std::int64_t revision;
     };
-    class Handle : public http::Exchange
-    {
-    public:
-        Handle(LossyStore &store, std::shared_ptr<Call> call)
-            : m_store(store)
-            , m_call(std::move(call))
-        {}
-        Handle(const Handle &) = delete;
-        Handle &operator=(const Handle &) = delete;
-        ~Handle() override
-        {
-            m_call->timeout.cancel();
-            m_call->answer.cancel();
-            m_call->lost = true;
-            std::erase(m_store.m_calls, m_call);
-        }
 
-    private:
-        LossyStore &m_store;
-        std::shared_ptr<Call> m_call;
-    };
-
-    Json object(const std::string &kind) const
+    StoreCall start(const std::shared_ptr<Call> &call, Connection connection, kernel::Duration wait)
     {
-        return { { "Metadata", { { "Name", "main" }, { "Revision", m_objects.at(kind) } } } };
+        const bool kept = connection == Connection::MayBeKept;
+        call->lost
+            = m_isCut || (kept && m_keptConnectionsDead && kernel::uniformBelow(m_random, 2) == 0);
+        call->timeout = kernel::Timer(
+            m_scheduler, m_isCut && !kept ? connectTimeout : wait + callTimeout, [this, call] {
+                finish(call);
+                call->callback(kernel::Error{ kernel::ResultCode::PlatformUnreachable, "test" });
+            });
+        if (!call->lost)
+            call->answer
+                = kernel::Timer(m_scheduler, wait + responseTime, [this, call] { respond(call); });
+        m_calls.push_back(call);
+        answerWatch(call);
+        return StoreCall([this, call] { finish(call); });
     }
-    std::string list(const std::string &kind) const
+    void finish(const std::shared_ptr<Call> &call)
     {
-        Json items = Json::array();
+        call->lost = true;
+        call->timeout.cancel();
+        call->answer.cancel();
+        std::erase(m_calls, call);
+    }
+    StoredObject object(const std::string &kind, std::int64_t revision) const
+    {
+        return { .name = kind, .revision = kernel::Revision(revision) };
+    }
+    ObjectPage list(const std::string &kind) const
+    {
+        ObjectPage page{ .revision = kernel::Revision(m_revision) };
         if (m_objects.contains(kind))
-            items.push_back(object(kind));
-        return Json{ { "Items", items }, { "StoreRevision", m_revision } }.dump();
+            page.objects.push_back(object(kind, m_objects.at(kind)));
+        return page;
     }
-    std::string events(const std::string &kind, std::int64_t after) const
+    ObjectPage events(const std::string &kind, std::int64_t after) const
     {
-        Json result = Json::array();
+        ObjectPage page{ .revision = kernel::Revision(m_revision) };
         for (const Event &event : m_history) {
-            if (event.kind != kind || event.revision <= after)
-                continue;
-            Json changed = object(kind);
-            changed["Metadata"]["Revision"] = event.revision;
-            result.push_back({ { "Object", changed }, { "Removed", false } });
+            if (event.kind == kind && event.revision > after)
+                page.objects.push_back(object(kind, event.revision));
         }
-        return Json{ { "events", result }, { "StoreRevision", m_revision } }.dump();
+        return page;
     }
     // Answers a watch if there is a change for it.
     void answerWatch(const std::shared_ptr<Call> &call)
     {
-        const bool changed
-            = call->watchAfter && std::ranges::any_of(m_history, [&](const Event &event) {
-                  return event.kind == call->kind && event.revision > *call->watchAfter;
-              });
-        if (changed)
+        if (!call->lost && call->watchAfter
+            && !events(call->kind, *call->watchAfter).objects.empty())
             call->answer
                 = kernel::Timer(m_scheduler, responseTime, [this, call] { respond(call); });
     }
@@ -171,19 +152,10 @@
         if (call->lost)
             return;
         m_keptConnectionsDead = false;
-        const http::ClientHandlers handlers = call->handlers;
-        handlers.onHead({ 200, {} });
-        handlers.onBody(call->watchAfter ? events(call->kind, *call->watchAfter)
-                                         : list(call->kind));
-        handlers.onEnd(kernel::Done{});
-    }
-    static void fail(const std::weak_ptr<Call> &weak)
-    {
-        const auto call = weak.lock();
-        if (!call)
-            return;
-        const http::ClientHandlers handlers = call->handlers;
-        handlers.onEnd(kernel::Error{ kernel::ResultCode::UpstreamTimeout, "test" });
+        const ObjectPage page
+            = call->watchAfter ? events(call->kind, *call->watchAfter) : list(call->kind);
+        finish(call);
+        call->callback(page);
     }
 
     const kernel::Scheduler &m_scheduler;
@@ -217,11 +189,7 @@
     explicit Play(std::uint64_t seed)
         : m_random(seed)
         , m_store(m_clock.scheduler(), seed)
-        , m_client(
-              [this](const http::ClientRequest &request, http::ClientHandlers handlers) {
-                  return m_store.send(request, std::move(handlers));
-              },
-              { "10.0.0.1", 80 })
+        , m_reader(m_store.reader())
         , m_coordinator(m_clock.scheduler())
     {
         m_clock.advance(10s);
@@ -263,7 +231,7 @@
         handlers.onChange = know;
         handlers.onReachabilityChange = [](bool) {};
         m_watchers.push_back(std::make_unique<KindWatcher>(
-            m_client, m_coordinator, m_clock.scheduler(), kernel::Random(m_random()), kind.name,
+            m_reader, m_coordinator, m_clock.scheduler(), kernel::Random(m_random()), kind.name,
             kind.options, std::move(handlers)));
         m_watchers.back()->start();
     }
@@ -314,7 +282,7 @@
     kernel::ManualScheduler m_clock;
     kernel::Random m_random;
     LossyStore m_store;
-    StoreClient m_client;
+    StoreReader m_reader;
     WatchCoordinator m_coordinator;
     std::vector<std::unique_ptr<KindWatcher>> m_watchers;
     std::map<std::string, std::int64_t> m_known;
