Soak: bytes that nobody acknowledges for 3 s end their connection, as the system does

Each was traced: the request had not been given up, its bytes were held by the path's proxy, which acknowledges at once what a real path would not, so the router's limit of 3 s for unacknowledged bytes could not end the connection. One was sent by a router that was killed since, whose bytes nobody can take back: trouble of a router counts from the sending of a request.

--- a/soak/loopbackproxy.cpp
+++ b/soak/loopbackproxy.cpp
@@ -19,6 +19,7 @@
 constexpr kernel::Duration slowDelay = std::chrono::milliseconds(40);
 // Held bytes arrive this long after the path is back, as senders repeat them less and less often.
 constexpr kernel::Duration heldDelay = std::chrono::milliseconds(3200);
+constexpr kernel::Duration unacknowledgedLimit = std::chrono::milliseconds(3000);
 
 // Closes a connection with a TCP reset, as a restarted machine does.
 void resetSocket(h2o_socket_t *socket)
@@ -151,8 +152,11 @@
 
     void schedule(std::size_t to)
     {
-        if (m_proxy.m_behaviour == ProxyBehaviour::Held)
+        if (m_proxy.m_behaviour == ProxyBehaviour::Held) {
+            if (to == 1 && !m_ends[to].queue.empty())
+                limitHolding();
             return;
+        }
         if (m_proxy.m_behaviour != ProxyBehaviour::Slow) {
             pump(to);
             return;
@@ -161,6 +165,19 @@
             = kernel::Timer(m_proxy.m_loop.scheduler(), slowDelay, [this, to] { pump(to); });
     }
 
+    // The routers let the system end a connection whose bytes nobody acknowledges for this long. A
+    // proxy acknowledges them at once, so it ends the connection instead. Bytes of a connection
+    // that was closed in good order are delivered all the same.
+    void limitHolding()
+    {
+        if (std::exchange(m_holding, true))
+            return;
+        m_holdingLimit = kernel::Timer(m_proxy.m_loop.scheduler(), unacknowledgedLimit, [this] {
+            if (!m_ends[1].closing)
+                m_proxy.forget(this);
+        });
+    }
+
     void pump(std::size_t to)
     {
         End &end = m_ends[to];
@@ -173,6 +190,10 @@
                 closeOrderly();
             return;
         }
+        if (to == 1) {
+            m_holding = false;
+            m_holdingLimit.cancel();
+        }
         end.writing = std::move(end.queue.front());
         end.queue.pop_front();
         h2o_iovec_t buffer = h2o_iovec_init(end.writing.data(), end.writing.size());
@@ -205,6 +226,8 @@
     bool m_serverConnected = false;
     bool m_lostBytes = false;
     bool m_deaf = false;
+    bool m_holding = false;
+    kernel::Timer m_holdingLimit;
 };
 
 LoopbackProxy::LoopbackProxy(http::EventLoop &loop, kernel::Endpoint target)
--- a/soak/silences.cpp
+++ b/soak/silences.cpp
@@ -23,15 +23,17 @@
 constexpr kernel::Duration leaveTime = 2s;
 constexpr kernel::Duration recoveryTime = 3s;
 
-bool isExcused(const Record &record, const std::string &runner, std::size_t router,
+// The bytes of a killed process can't be taken back, so trouble of the router counts from the time
+// at which the request was sent.
+bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
                kernel::Instant at)
 {
     const auto affects = [&](const Disturbance &one) {
-        return (!one.router || *one.router == router) && one.from <= at
+        return (!one.router || *one.router == asked.router) && one.from <= at
                && one.to + recoveryTime >= at;
     };
     const auto path = record.pathTrouble.find(runner);
-    return isRouterDisturbed(record, router, at - recoveryTime, at)
+    return isRouterDisturbed(record, asked.router, std::min(asked.sent, at - recoveryTime), at)
            || std::ranges::any_of(record.storeTrouble, affects)
            || (path != record.pathTrouble.end() && std::ranges::any_of(path->second, affects));
 }
@@ -135,7 +137,7 @@
         for (const Arrival &arrival : arrivals->second) {
             const auto asked = byId.find(arrival.request);
             if (asked == byId.end() || arrival.time <= since + leaveTime
-                || isExcused(record, runner, asked->second->router, arrival.time))
+                || isExcused(record, runner, *asked->second, arrival.time))
                 continue;
             late.add(asked->second->id + " at router " + std::to_string(asked->second->router)
                      + " reached " + runner + " "
