--- a/tools/check.sh
+++ b/tools/check.sh
@@ -9,6 +9,15 @@
 export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 export RC_PARAMS="seed=1"
 
+# Tests with a known fault are passed over, and printed.
+known_red=$(sed -n 's/^  gtest: //p' KNOWN-RED.txt)
+if [ -n "$known_red" ]; then
+    echo "passed over (KNOWN-RED.txt):"
+    echo "$known_red"
+    GTEST_FILTER="-$(echo "$known_red" | paste -sd:)"
+    export GTEST_FILTER
+fi
+
 cmake --preset release
 cmake --build --preset release
 tools/lint.sh
