--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -142,8 +142,8 @@
     scheduleWatch();
 }
 
-// Takes over the revision that the last response named, if it includes no unseen change. Returns
-// whether it does not.
+// Takes over the revision that the last response named, unless it includes a change that no watcher
+// has seen. Returns whether the revision was taken over.
 bool KindWatcher::acceptReportedRevision()
 {
     if (!m_coordinator.sawAllChanges(m_revision, m_reported.revision))
