--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -335,6 +335,7 @@
                        { "detail", detail },
                        { "send", m_attempts.sent },
                        { "may_have_run", m_attempts.mayHaveRun },
+                       { "prompt_parts", listPromptParts(m_plan.sharedParts) },
                        { "took_ms", kernel::toMilliseconds(now() - m_attempt->startedAt) } });
     switch (failure) {
     case AttemptFailure::Refused:
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -67,6 +67,14 @@
     return parts.empty() ? "" : parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
 }
 
+std::vector<PromptPartKey> sharedPartsOf(const ModelWork &work, const kernel::ServiceName &service)
+{
+    std::vector<PromptPartKey> shared;
+    for (std::size_t i = 0; i + 1 < work.parts.size(); ++i)
+        shared.push_back({ service, work.parts[i].id });
+    return shared;
+}
+
 std::optional<Refusal> chooseService(ForwardingState &state, RequestPlan &plan)
 {
     const double point = plan.affinityKey.empty() ? kernel::uniform01(state.random)
@@ -94,6 +102,7 @@
     if (auto refusal = chooseService(state, plan))
         return refusal;
     if (request.work) {
+        plan.sharedParts = sharedPartsOf(*request.work, plan.service);
         plan.lane = laneOf(state.tightestObjectives, plan.service, plan.route);
         LaneWork &recent = state.laneWork[plan.service];
         recordWork(recent, plan.lane, expectedWork(*request.work));
--- a/src/forwarding/internal/requestplan.h
+++ b/src/forwarding/internal/requestplan.h
@@ -22,6 +22,8 @@
     /// Affinity key of the request: requests with equal keys share an upstream's prompt cache. May
     /// be empty.
     std::string affinityKey;
+    /// Parts of the prompt that other requests may share: all but the last.
+    std::vector<PromptPartKey> sharedParts;
     std::string firstModel;
     Lane lane = Lane::Any;
     /// Mean work of the service's recent requests, in units of one prompt token.
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/requestreport.cpp
@@ -8,6 +8,7 @@
 
 constexpr int httpOk = 200;
 constexpr int firstErrorStatus = 400;
+constexpr std::size_t maxLoggedParts = 8;
 
 void recordMetrics(ForwardingState &state, const Request &request, const RequestPlan &plan,
                    const RequestSummary &summary)
@@ -24,6 +25,16 @@
 
 } // namespace
 
+std::string listPromptParts(const std::vector<PromptPartKey> &parts)
+{
+    std::string list;
+    for (std::size_t i = 0; i < std::min(parts.size(), maxLoggedParts); ++i) {
+        list += i == 0 ? "" : ",";
+        list += parts[i].part;
+    }
+    return list;
+}
+
 void reportFinish(ForwardingState &state, const Request &request, const RequestPlan &plan,
                   const RequestSummary &summary)
 {
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/requestreport.h
@@ -22,6 +22,9 @@
     kernel::Instant firstByteAt{};
 };
 
+/// Returns the ids of the first of these parts, separated by commas, for a log line.
+std::string listPromptParts(const std::vector<PromptPartKey> &parts);
+
 /// Counts and logs a finished request.
 void reportFinish(ForwardingState &state, const Request &request, const RequestPlan &plan,
                   const RequestSummary &summary);
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -180,6 +180,15 @@
     std::int64_t tokens = 0;
 };
 
+/// A prompt part as the engines of one service know it.
+struct PromptPartKey
+{
+    kernel::ServiceName service;
+    std::string part;
+
+    friend auto operator<=>(const PromptPartKey &, const PromptPartKey &) = default;
+};
+
 /// Work that a request asks a model to do.
 struct ModelWork
 {
