--- /dev/null
+++ b/src/forwarding/tests/crashingpart_tests.cpp
@@ -0,0 +1,97 @@
+#include <array>
+#include <string>
+#include <tuple>
+
+#include <gtest/gtest.h>
+
+#include "forwarding/tests/crashingfleet.h"
+
+using namespace acaciasail;
+using namespace acaciasail::forwarding;
+using namespace acaciasail::forwarding::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Number of crashes after which the routers must recognise a part, the time that they may take for
+// it, and the number of requests with the part that may still reach upstreams later.
+constexpr std::size_t crashesToDetect = 5;
+constexpr kernel::Duration detectionTime = 3s;
+constexpr int maxArrivalsAfterDetection = 3;
+// Time from that crash until sound requests must be served again, at least half as often as before.
+constexpr kernel::Duration recoveryTime = 6s;
+constexpr double minAnsweredShare = 0.5;
+
+using Parameters = std::tuple<CrashMoment, bool>;
+
+class CrashingPartTest : public ::testing::TestWithParam<Parameters>
+{
+protected:
+    static CrashingFleetOptions makeOptions()
+    {
+        CrashingFleetOptions options;
+        options.moment = std::get<0>(GetParam());
+        options.crashingPartOpensPrompt = std::get<1>(GetParam());
+        return options;
+    }
+
+    static kernel::Instant lastAllowedArrival(const CrashingFleet &fleet)
+    {
+        return fleet.crashes().at(crashesToDetect - 1) + detectionTime;
+    }
+
+    static void expectSoundRequestsServed(const CrashingFleet &fleet, kernel::Instant calmStart,
+                                          kernel::Instant calmEnd, kernel::Instant end)
+    {
+        const kernel::Instant from = fleet.crashes().at(crashesToDetect - 1) + recoveryTime;
+        for (const bool onlySharedFirstPart : { false, true }) {
+            const double before = fleet.answeredShare(calmStart, calmEnd, onlySharedFirstPart);
+            const double after = fleet.answeredShare(from, end, onlySharedFirstPart);
+            EXPECT_GT(before, 0.9);
+            EXPECT_GE(after, minAnsweredShare * before)
+                << (onlySharedFirstPart ? "requests with the same first part" : "all requests");
+        }
+    }
+};
+
+std::string nameOf(const ::testing::TestParamInfo<Parameters> &info)
+{
+    const std::array<std::string, 3> moments{ "BeforeHead", "AfterHead", "WithinStream" };
+    const auto [moment, opensPrompt] = info.param;
+    return moments.at(static_cast<std::size_t>(moment))
+           + (opensPrompt ? "PartFirst" : "PartSecond");
+}
+
+} // namespace
+
+TEST_P(CrashingPartTest, RequestsWithPartAreNotSentAnyMore)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        CrashingFleetOptions options = makeOptions();
+        options.seed = seed;
+        CrashingFleet fleet(options);
+        fleet.run(5s, false);
+        fleet.run(25s, true);
+        EXPECT_LE(fleet.crashingArrivalsSince(lastAllowedArrival(fleet)), maxArrivalsAfterDetection)
+            << "seed " << seed << ", " << fleet.crashes().size() << " crashes";
+    }
+}
+
+TEST_P(CrashingPartTest, RequestsThatShareOtherPartsAreServed)
+{
+    CrashingFleet fleet(makeOptions());
+    const kernel::Instant start = fleet.now();
+    fleet.run(5s, false);
+    const kernel::Instant calmEnd = fleet.now() - 1s;
+    fleet.run(25s, true);
+    const kernel::Instant end = fleet.now() - 1s;
+    fleet.run(2s, false);
+    expectSoundRequestsServed(fleet, start, calmEnd, end);
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments, CrashingPartTest,
+                         ::testing::Combine(::testing::Values(CrashMoment::BeforeHead,
+                                                              CrashMoment::AfterHead,
+                                                              CrashMoment::WithinStream),
+                                            ::testing::Bool()),
+                         nameOf);
