Requests with a prompt part that crashes upstreams are refused by all routers

Callers saw: requests with one part in their prompts, no two alike, crashed one upstream after another; sound requests beside them were lost with the upstreams, refused for crashes that others caused, or found no upstream.

Cause: evidence on crashes was kept per request (workspace, path, body), so that unlike requests with a common part were never joined; and crashes that came close together passed for a common cause and were dropped.

Change: each lost run is evidence on all parts of its prompt but the last. Routers join this evidence through the crash reports that they write to the store and send to each other. A part is blamed if four upstreams crashed while they ran at least two requests with it, if no request with it was completed since, and if it was at half or more of the crashes of its time. Of parts at about as many crashes the one that was completed the longest ago, or never, is blamed first; what it explains counts against no other part and no other request. A part that was sound within the last minute needs crashes at three different moments, so upstreams that end together blame nothing that was in use before.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -75,7 +75,7 @@
               m_adapter.writeRollout(rollout, step);
           };
     callbacks.shareCrashEvidence
-        = [this](const poison::PoisonEvidenceSet &own) { m_adapter.shareCrashEvidence(own); };
+        = [this](const forwarding::CrashReport &own) { m_adapter.shareCrashEvidence(own); };
     callbacks.publishLimitReport
         = [this](const forwarding::LimitReport &report) { m_adapter.publishLimitReport(report); };
     callbacks.removeLimitReport
@@ -136,6 +136,13 @@
                        return static_cast<double>(
                            forwarding::countRefusedRequests(m_forwarder.state().crashes));
                    });
+    registry.gauge("acaciasail_prompt_parts_refused_for_crashes",
+                   "Parts of prompts whose requests the router refuses because they crashed "
+                   "upstreams",
+                   [this] {
+                       return static_cast<double>(
+                           m_forwarder.state().crashes.parts.blamed.parts.size());
+                   });
     registry.gauge("acaciasail_limited_upstreams",
                    "Upstreams to which the router sends at a limited rate", [this] {
                        return static_cast<double>(
--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -89,6 +89,19 @@
         movePendingToOwn(evidence, run.fingerprint);
 }
 
+// A common cause of several crashes is no reason to drop evidence on parts: only all evidence of
+// all routers shows whether a part explains them.
+void recordCrashesOfParts(CrashEvidence &evidence, kernel::Instant now, kernel::WallTime wallNow)
+{
+    for (LostRun &run : evidence.lost) {
+        if (!run.goneAt || std::exchange(run.countsForParts, true) || run.sharedParts.empty())
+            continue;
+        const kernel::WallTime crashedAt = wallNow - (now - run.lostAt);
+        recordPartCrash(evidence.parts,
+                        { run.sharedParts, run.fingerprint, run.process, crashedAt }, now);
+    }
+}
+
 } // namespace
 
 kernel::UpstreamId processIdOf(const Upstream &upstream)
@@ -139,6 +152,7 @@
         if (!run.goneAt && now - run.lostAt >= lostRunTimeout)
             run.goneAt = run.lostAt;
     }
+    recordCrashesOfParts(evidence, now, wallNow);
     std::vector<LostRun> crashed;
     std::ranges::copy_if(evidence.lost, std::back_inserter(crashed), [&](const LostRun &run) {
         return isCommonCauseWindowOver(run, now) && !hasCommonCause(evidence, run);
@@ -154,8 +168,9 @@
 }
 
 void recordCompletedRun(CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
-                        kernel::WallTime wallNow)
+                        const std::vector<PromptPartKey> &sharedParts, kernel::WallTime wallNow)
 {
+    recordPartsCompleted(evidence.parts, sharedParts, wallNow);
     std::erase_if(evidence.lost,
                   [&](const LostRun &run) { return run.fingerprint == fingerprint; });
     if (poison::unclearedCrashes(evidence.known, fingerprint) == 0)
@@ -186,75 +201,91 @@
 
 int countCrashes(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
 {
+    const std::set<kernel::UpstreamId> &explained = evidence.parts.blamed.processes;
     std::set<kernel::UpstreamId> lost;
     for (const LostRun &run : evidence.lost) {
-        if (run.fingerprint == fingerprint)
+        if (run.fingerprint == fingerprint && !explained.contains(run.process))
             lost.insert(run.process);
     }
     const auto known = evidence.known.evidence.find(fingerprint);
     if (known == evidence.known.evidence.end())
         return static_cast<int>(lost.size());
+    poison::PoisonEvidence unexplained = known->second;
+    std::erase_if(unexplained.crashTimes,
+                  [&](const auto &item) { return explained.contains(item.first); });
     // A crash that another router has shared is not counted twice.
     std::erase_if(lost, [&](const kernel::UpstreamId &process) {
-        return known->second.crashTimes.contains(process);
+        return unexplained.crashTimes.contains(process);
     });
-    return poison::unclearedCrashes(evidence.known, fingerprint) + static_cast<int>(lost.size());
+    return poison::unclearedCrashes(unexplained) + static_cast<int>(lost.size());
 }
 
-bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
+bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
+                      const std::vector<PromptPartKey> &sharedParts)
 {
-    return countCrashes(evidence, fingerprint) >= crashesToRefuse;
+    return countCrashes(evidence, fingerprint) >= crashesToRefuse
+           || findBlamedPart(evidence.parts, sharedParts).has_value();
 }
 
 std::size_t countRefusedRequests(const CrashEvidence &evidence)
 {
     return static_cast<std::size_t>(
         std::ranges::count_if(evidence.known.evidence, [&](const auto &entry) {
-            return poison::unclearedCrashes(evidence.known, entry.first) >= crashesToRefuse;
+            return countCrashes(evidence, entry.first) >= crashesToRefuse;
         }));
 }
 
-bool mergeCrashEvidence(CrashEvidence &evidence, const poison::PoisonEvidenceSet &received)
+bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received)
 {
     evidence.known.capacity = maxTrackedRequests;
-    return poison::merge(evidence.known, received);
+    const bool hasNewRequests = poison::merge(evidence.known, received.requests);
+    return mergeReceivedParts(evidence.parts, received.parts) || hasNewRequests;
 }
 
-void restoreCrashEvidence(CrashEvidence &evidence, const poison::PoisonEvidenceSet &restored)
+void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored)
 {
     evidence.own.capacity = maxTrackedRequests;
-    // A report that was shared before this one was read lacks its requests.
-    const bool lacksRestored = std::ranges::any_of(restored.evidence, [&](const auto &item) {
-        return !evidence.own.evidence.contains(item.first);
-    });
-    if (lacksRestored && evidence.sharedAt != kernel::Instant{})
+    // A report that was shared before this one was read lacks its evidence.
+    const bool lacksRequests
+        = std::ranges::any_of(restored.requests.evidence, [&](const auto &item) {
+              return !evidence.own.evidence.contains(item.first);
+          });
+    const bool lacksParts = std::ranges::any_of(
+        restored.parts, [&](const auto &item) { return !evidence.parts.own.contains(item.first); });
+    if ((lacksRequests || lacksParts) && evidence.sharedAt != kernel::Instant{})
         evidence.hasUnsharedEvidence = true;
     mergeCrashEvidence(evidence, restored);
-    poison::merge(evidence.own, restored);
+    poison::merge(evidence.own, restored.requests);
+    mergePartEvidence(evidence.parts.own, restored.parts);
 }
 
 void expireCrashEvidence(CrashEvidence &evidence, kernel::WallTime wallNow)
 {
     poison::expire(evidence.known, wallNow);
     poison::expire(evidence.own, wallNow);
+    expireParts(evidence.parts, wallNow);
 }
 
 bool hasEvidenceToShare(const CrashEvidence &evidence)
 {
-    return evidence.hasUnsharedEvidence || !evidence.lost.empty() || !evidence.pending.empty();
+    return evidence.hasUnsharedEvidence || !evidence.lost.empty() || !evidence.pending.empty()
+           || evidence.parts.hasUnsharedEvidence || !evidence.parts.pending.empty();
 }
 
 bool isShareDue(CrashEvidence &evidence, kernel::Instant now)
 {
     moveOverdueToOwn(evidence, now);
-    return evidence.hasUnsharedEvidence && now - evidence.sharedAt >= shareInterval;
+    const bool hasUnsharedParts = isPartShareDue(evidence.parts, now);
+    return (evidence.hasUnsharedEvidence || hasUnsharedParts)
+           && now - evidence.sharedAt >= shareInterval;
 }
 
-poison::PoisonEvidenceSet takeEvidenceToShare(CrashEvidence &evidence, kernel::Instant now)
+CrashReport takeEvidenceToShare(CrashEvidence &evidence, kernel::Instant now)
 {
     evidence.hasUnsharedEvidence = false;
     evidence.sharedAt = now;
-    return poison::mostImportantEvidence(evidence.own, maxSharedRequests);
+    return { poison::mostImportantEvidence(evidence.own, maxSharedRequests),
+             takePartsToShare(evidence.parts) };
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/crashevidence.h
+++ b/src/forwarding/internal/crashevidence.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <vector>
 
+#include "forwarding/internal/partcrashes.h"
 #include "forwarding/internal/types.h"
 #include "poison/poison.h"
 
@@ -15,6 +16,8 @@
 {
     kernel::RequestId request;
     poison::Fingerprint fingerprint;
+    /// Parts of the prompt that other requests may share.
+    std::vector<PromptPartKey> sharedParts;
     kernel::UpstreamId upstream;
     /// Id of the upstream's process, as processIdOf() returns it.
     kernel::UpstreamId process;
@@ -24,6 +27,8 @@
     std::optional<kernel::Instant> goneAt;
     /// The request finished without a response, so its caller may send it again to any router.
     bool unanswered = false;
+    /// The crash was recorded as evidence on the parts of the prompt.
+    bool countsForParts = false;
 };
 
 /// Time at which an upstream was found to be gone, and whether the upstream came back since.
@@ -43,7 +48,15 @@
     bool hasProgress = false;
 };
 
-/// A router's evidence on poison requests, which crash each upstream that runs them.
+/// What a router tells the others about crashes.
+struct CrashReport
+{
+    poison::PoisonEvidenceSet requests;
+    PartEvidenceSet parts;
+};
+
+/// A router's evidence on poison requests and prompt parts, which crash each upstream that runs
+/// them.
 ///
 /// A lost run counts as a crash unless its upstream is found alive. Confirmed crashes are shared
 /// with the other routers, whose evidence is merged into this one.
@@ -56,6 +69,7 @@
     std::map<poison::Fingerprint, PendingEvidence> pending;
     std::vector<LostRun> lost;
     std::map<kernel::UpstreamId, GoneUpstream> gone;
+    PartCrashes parts;
     /// The router's own evidence has changes that were not shared yet.
     bool hasUnsharedEvidence = false;
     kernel::Instant sharedAt{};
@@ -78,9 +92,10 @@
 /// upstream crashed.
 std::vector<LostRun> classifyLostRuns(CrashEvidence &evidence, kernel::Instant now,
                                       kernel::WallTime wallNow);
-/// Records that the request ran to completion, which invalidates the earlier evidence against it.
+/// Records that the request ran to completion, which invalidates the earlier evidence against it
+/// and against the parts of its prompt.
 void recordCompletedRun(CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
-                        kernel::WallTime wallNow);
+                        const std::vector<PromptPartKey> &sharedParts, kernel::WallTime wallNow);
 
 /// Records that a response to the request is in progress.
 void recordProgress(CrashEvidence &evidence, const poison::Fingerprint &fingerprint);
@@ -89,17 +104,19 @@
 void recordUnanswered(CrashEvidence &evidence, const poison::Fingerprint &fingerprint);
 
 /// Returns the number of upstream processes that crashed while they ran the request, including
-/// those of lost runs that are not classified yet.
+/// those of lost runs that are not classified yet, but not those that a prompt part explains.
 int countCrashes(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint);
-/// Returns whether the request must not be sent any more.
-bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint);
+/// Returns whether the request must not be sent any more, because of itself or of a part of its
+/// prompt.
+bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
+                      const std::vector<PromptPartKey> &sharedParts = {});
 /// Returns the number of requests that are refused because of their crashes.
 std::size_t countRefusedRequests(const CrashEvidence &evidence);
 
 /// Merges the evidence of another router; returns whether any of it was new.
-bool mergeCrashEvidence(CrashEvidence &evidence, const poison::PoisonEvidenceSet &received);
+bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received);
 /// Restores the evidence of this router's previous process.
-void restoreCrashEvidence(CrashEvidence &evidence, const poison::PoisonEvidenceSet &restored);
+void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored);
 /// Removes expired evidence.
 void expireCrashEvidence(CrashEvidence &evidence, kernel::WallTime wallNow);
 
@@ -109,6 +126,6 @@
 /// Returns whether this router's own evidence should be shared now.
 bool isShareDue(CrashEvidence &evidence, kernel::Instant now);
 /// Returns the evidence to share and marks it as shared.
-poison::PoisonEvidenceSet takeEvidenceToShare(CrashEvidence &evidence, kernel::Instant now);
+CrashReport takeEvidenceToShare(CrashEvidence &evidence, kernel::Instant now);
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -185,21 +185,23 @@
         kernel::logEvent(kernel::EventId::StoreDown, {});
 }
 
-void Forwarder::mergeCrashEvidence(const kernel::VmId &from,
-                                   const poison::PoisonEvidenceSet &received)
+void Forwarder::mergeCrashEvidence(const kernel::VmId &from, const CrashReport &received)
 {
     if (!forwarding::mergeCrashEvidence(m_state.crashes, received))
         return;
+    reviewBlamedParts();
     kernel::logEvent(kernel::EventId::PoisonReported,
                      { { "from", from },
-                       { "requests", received.evidence.size() },
+                       { "requests", received.requests.evidence.size() },
+                       { "prompt_parts", received.parts.size() },
                        { "refused", countRefusedRequests(m_state.crashes) } });
     endCrashingRequests();
 }
 
-void Forwarder::restoreCrashEvidence(const poison::PoisonEvidenceSet &restored)
+void Forwarder::restoreCrashEvidence(const CrashReport &restored)
 {
     forwarding::restoreCrashEvidence(m_state.crashes, restored);
+    reviewBlamedParts();
     endCrashingRequests();
 }
 
@@ -275,12 +277,21 @@
         logPoisonSuspected(m_state, run);
         endCrashingRequests();
     }
+    reviewBlamedParts();
     if (!m_shareCrashes || !isShareDue(m_state.crashes, now))
         return;
     expireCrashEvidence(m_state.crashes, wallNow);
     m_shareCrashes(takeEvidenceToShare(m_state.crashes, now));
 }
 
+void Forwarder::reviewBlamedParts()
+{
+    const BlameChange change = updateBlame(m_state.crashes.parts);
+    logBlamedParts(m_state, change);
+    if (!change.blamed.empty())
+        endCrashingRequests();
+}
+
 // Ends the requests that wait for an upstream and would crash it.
 void Forwarder::endCrashingRequests()
 {
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -14,7 +14,7 @@
 using RolloutWriter = std::function<void(const Rollout &rollout, const RolloutStep &step)>;
 
 /// Shares this router's evidence on poison requests with the other routers.
-using CrashSharer = std::function<void(const poison::PoisonEvidenceSet &own)>;
+using CrashSharer = std::function<void(const CrashReport &own)>;
 
 /// Number of upstreams of one data centre that became unreachable since a point in time.
 struct UnreachableUpstreams
@@ -63,11 +63,11 @@
     void setRollout(const Rollout &rollout);
     void dropRollout(const kernel::ServiceName &service);
     void setStoreReachable(bool reachable);
-    /// Merges another router's evidence on poison requests.
-    void mergeCrashEvidence(const kernel::VmId &from, const poison::PoisonEvidenceSet &received);
-    /// Restores the evidence on poison requests that the router on this VM recorded before it
-    /// restarted.
-    void restoreCrashEvidence(const poison::PoisonEvidenceSet &restored);
+    /// Merges another router's evidence on poison requests and prompt parts.
+    void mergeCrashEvidence(const kernel::VmId &from, const CrashReport &received);
+    /// Restores the evidence on poison requests and prompt parts that the router on this VM
+    /// recorded before it restarted.
+    void restoreCrashEvidence(const CrashReport &restored);
 
     /// Replaces the routers' reports on rate limits by a complete list, which includes this
     /// router's own report if it has been published.
@@ -97,6 +97,7 @@
     void reviewRollout(Rollout &rollout);
     bool isRejectedByDoubts(const Rollout &rollout) const;
     void reviewCrashes();
+    void reviewBlamedParts();
     void reviewLimits();
     void onLimitsEnded(const std::vector<kernel::UpstreamId> &processes);
     void endCrashingRequests();
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -22,6 +22,8 @@
 // Maximum number of unread bytes of a slow caller before reading from the upstream pauses.
 constexpr std::size_t maxQueuedBytes = 256U << 10U;
 constexpr double failureRateWeight = 0.02;
+// A part of a prompt that crashes upstreams does so sooner after the first event.
+constexpr kernel::Duration soundWritingTime = std::chrono::seconds(2);
 // Random time that is added to the remaining cooldown (0 if there is none) to give the retry-after
 // time, so that callers do not return at the same time.
 constexpr double retryAfterMinSeconds = 0.2;
@@ -158,9 +160,13 @@
         reviewEvent(m_attempt->review);
     } else {
         m_attempt->firstByteSeen = true;
+        m_attempt->firstEventAt = at;
         review(reviewFirstByte);
     }
     m_attempt->lastActivity = at;
+    if (at - m_attempt->firstEventAt >= soundWritingTime
+        && !std::exchange(m_attempt->writtenForWhile, true))
+        recordPartsWritten(m_state.crashes.parts, m_plan.sharedParts, m_state.scheduler.wallNow());
     recordProgress(m_state.crashes, m_plan.fingerprint);
 }
 
@@ -245,7 +251,8 @@
         return;
     }
     review(reviewEnd);
-    recordCompletedRun(m_state.crashes, m_plan.fingerprint, m_state.scheduler.wallNow());
+    recordCompletedRun(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts,
+                       m_state.scheduler.wallNow());
     finishAttempt(AttemptOutcome::Succeeded);
     deliverResponse();
 }
@@ -303,20 +310,36 @@
     const bool unreachable = record != m_state.records.end() && record->second.unreachable;
     if (!m_attempt->sent || !(broken || (unanswered && unreachable)))
         return;
-    recordLostRun(m_state.crashes, { .request = m_request.id,
-                                     .fingerprint = m_plan.fingerprint,
-                                     .upstream = m_attempt->upstream,
-                                     .process = m_attempt->process,
-                                     .startedAt = m_attempt->startedAt,
-                                     .lostAt = now() });
+    recordLostRun(
+        m_state.crashes,
+        { .request = m_request.id,
+          .fingerprint = m_plan.fingerprint,
+          .sharedParts = isUpstreamLeaving() ? std::vector<PromptPartKey>() : m_plan.sharedParts,
+          .upstream = m_attempt->upstream,
+          .process = m_attempt->process,
+          .startedAt = m_attempt->startedAt,
+          .lostAt = now() });
     m_state.upstreamsToProbe.insert(m_attempt->upstream);
 }
 
+// An upstream that leaves may exit while it still runs requests, without a crash.
+bool Job::isUpstreamLeaving() const
+{
+    const auto record = m_state.records.find(m_attempt->upstream);
+    const auto known = m_state.directory.upstreams.find(m_attempt->upstream);
+    return known == m_state.directory.upstreams.end() || known->second.entry.draining
+           || (record != m_state.records.end() && record->second.notices.leavingSince.has_value());
+}
+
+bool Job::isPoison() const
+{
+    return crashesUpstreams(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts);
+}
+
 void Job::onCrashEvidence()
 {
     const auto self = shared_from_this();
-    if (m_done || !m_attempt || !m_exchange || m_attempt->head
-        || !crashesUpstreams(m_state.crashes, m_plan.fingerprint))
+    if (m_done || !m_attempt || !m_exchange || m_attempt->head || !isPoison())
         return;
     logPoisonRefused(m_state, m_request, m_plan);
     finishAttempt(AttemptOutcome::Cancelled);
@@ -359,7 +382,7 @@
         finishAttempt(AttemptOutcome::Failed);
         break;
     }
-    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint)) {
+    if (isPoison()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
         return;
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -58,6 +58,9 @@
         std::optional<ResponseHead> head;
         std::string body;
         bool firstByteSeen = false;
+        kernel::Instant firstEventAt{};
+        // The response has been written for a while without a crash.
+        bool writtenForWhile = false;
     };
 
     // One load query. Holds a copy of the upstream, because its registration may disappear
@@ -112,6 +115,9 @@
     void recordNamedLimit(const ResponseHead &head);
     void updateLimit(const Upstream &upstream, std::optional<double> perSecond,
                      kernel::Instant sentAt);
+    bool isUpstreamLeaving() const;
+    // Returns whether upstreams crash when they run the request.
+    bool isPoison() const;
     // Records an attempt that finished without a response as evidence on crashes.
     void recordPossibleCrash(AttemptOutcome outcome);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
--- a/src/forwarding/internal/jobattempt.cpp
+++ b/src/forwarding/internal/jobattempt.cpp
@@ -181,7 +181,7 @@
 
 void Job::startAttempt(const UpstreamChoice &choice)
 {
-    if (crashesUpstreams(m_state.crashes, m_plan.fingerprint)) {
+    if (isPoison()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
         return;
--- /dev/null
+++ b/src/forwarding/internal/partevidence.cpp
@@ -0,0 +1,221 @@
+#include "forwarding/internal/partevidence.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace acaciasail::forwarding {
+
+namespace {
+
+// Bounds of the evidence that is kept.
+constexpr std::size_t maxTrackedParts = 1024;
+constexpr std::size_t maxCrashesOfPart = 32;
+constexpr std::size_t maxRequestsOfPart = 4;
+// A sound part that was blamed would stay blamed for this time, unless one of its requests that
+// are in progress completes.
+constexpr kernel::Duration partEvidenceLifetime = std::chrono::hours(1);
+
+// Number of crashes from which a part is blamed. A single request is refused after three crashes,
+// so they show nothing about its parts.
+constexpr std::size_t crashesToBlame = 4;
+constexpr std::size_t requestsToBlame = 2;
+// A part that was sound within this time before its first crash needs stronger evidence.
+constexpr kernel::Duration recentlySound = std::chrono::minutes(1);
+// Upstreams that crash within this time of each other may have a common cause, so for such a part
+// they count as one event.
+constexpr kernel::Duration commonCauseWindow = std::chrono::milliseconds(500);
+constexpr int eventsToBlame = 3;
+
+using ProcessSet = std::set<kernel::UpstreamId>;
+
+struct Suspect
+{
+    PromptPartKey key;
+    const PartEvidence *evidence = nullptr;
+    // Crashes that count against the part and have no other explanation.
+    ProcessSet crashes;
+};
+
+std::vector<kernel::WallTime> sortedCrashTimes(const Suspect &suspect)
+{
+    std::vector<kernel::WallTime> times;
+    for (const kernel::UpstreamId &process : suspect.crashes)
+        times.push_back(suspect.evidence->crashes.at(process));
+    std::ranges::sort(times);
+    return times;
+}
+
+int countSeparateEvents(const std::vector<kernel::WallTime> &sortedTimes)
+{
+    int count = 0;
+    std::optional<kernel::WallTime> start;
+    for (const kernel::WallTime time : sortedTimes) {
+        if (start && time - *start <= commonCauseWindow)
+            continue;
+        start = time;
+        ++count;
+    }
+    return count;
+}
+
+// Returns whether the part was at half or more of the crashes between its first and its last one.
+bool explainsMostCrashes(const Suspect &suspect, const std::vector<kernel::WallTime> &sortedTimes,
+                         const CrashedProcesses &crashed)
+{
+    const auto ofService = crashed.find(suspect.key.service);
+    if (ofService == crashed.end())
+        return true;
+    const kernel::WallTime from = sortedTimes.front() - commonCauseWindow;
+    const kernel::WallTime to = sortedTimes.back() + commonCauseWindow;
+    const auto others = std::ranges::count_if(ofService->second, [&](const auto &item) {
+        return item.second >= from && item.second <= to && !suspect.crashes.contains(item.first);
+    });
+    return static_cast<std::size_t>(others) <= suspect.crashes.size();
+}
+
+bool wasSoundBefore(const Suspect &suspect, kernel::WallTime firstCrash, const PartTimes &writtenAt)
+{
+    const auto written = writtenAt.find(suspect.key);
+    std::optional<kernel::WallTime> soundAt = suspect.evidence->completedAt;
+    if (written != writtenAt.end())
+        soundAt = std::max(soundAt, std::optional(written->second));
+    return soundAt && firstCrash - *soundAt < recentlySound;
+}
+
+bool isBlamable(const Suspect &suspect, const CrashedProcesses &crashed, const PartTimes &writtenAt)
+{
+    if (suspect.crashes.size() < crashesToBlame
+        || suspect.evidence->requests.size() < requestsToBlame)
+        return false;
+    const std::vector<kernel::WallTime> times = sortedCrashTimes(suspect);
+    if (wasSoundBefore(suspect, times.front(), writtenAt)
+        && countSeparateEvents(times) < eventsToBlame)
+        return false;
+    return explainsMostCrashes(suspect, times, crashed);
+}
+
+// Returns the suspect to blame next. Sound parts that the crashing requests share are at about as
+// many crashes as the crashing part, but have been completed more recently.
+const Suspect *selectSuspect(const std::vector<Suspect> &suspects, const CrashedProcesses &crashed,
+                             const PartTimes &writtenAt)
+{
+    constexpr std::size_t nominator = 3;
+    constexpr std::size_t denominator = 4;
+    std::vector<const Suspect *> blamable;
+    std::size_t mostCrashes = 0;
+    for (const Suspect &suspect : suspects) {
+        if (!isBlamable(suspect, crashed, writtenAt))
+            continue;
+        blamable.push_back(&suspect);
+        mostCrashes = std::max(mostCrashes, suspect.crashes.size());
+    }
+    std::erase_if(blamable, [&](const Suspect *suspect) {
+        return suspect->crashes.size() * denominator < mostCrashes * nominator;
+    });
+    const auto selected
+        = std::ranges::min_element(blamable, [](const Suspect *a, const Suspect *b) {
+              return std::tuple(a->evidence->completedAt, b->crashes.size(), a->key)
+                     < std::tuple(b->evidence->completedAt, a->crashes.size(), b->key);
+          });
+    return selected == blamable.end() ? nullptr : *selected;
+}
+
+kernel::WallTime newestTime(const PartEvidence &evidence)
+{
+    kernel::WallTime newest = evidence.completedAt.value_or(kernel::WallTime{});
+    for (const auto &[process, time] : evidence.crashes)
+        newest = std::max(newest, time);
+    return newest;
+}
+
+void limitSize(PartEvidence &evidence)
+{
+    while (evidence.requests.size() > maxRequestsOfPart)
+        evidence.requests.erase(std::prev(evidence.requests.end()));
+    while (evidence.crashes.size() > maxCrashesOfPart) {
+        evidence.crashes.erase(std::ranges::min_element(
+            evidence.crashes, {}, [](const auto &item) { return item.second; }));
+    }
+}
+
+bool mergeEvidence(PartEvidence &evidence, const PartEvidence &other)
+{
+    const PartEvidence before = evidence;
+    for (const auto &[process, time] : other.crashes) {
+        const auto [known, added] = evidence.crashes.try_emplace(process, time);
+        known->second = std::min(known->second, time);
+    }
+    evidence.requests.insert(other.requests.begin(), other.requests.end());
+    evidence.completedAt = std::max(evidence.completedAt, other.completedAt);
+    limitSize(evidence);
+    return evidence != before;
+}
+
+} // namespace
+
+std::set<kernel::UpstreamId> unclearedCrashes(const PartEvidence &evidence)
+{
+    ProcessSet uncleared;
+    for (const auto &[process, time] : evidence.crashes) {
+        if (!evidence.completedAt || time > *evidence.completedAt)
+            uncleared.insert(process);
+    }
+    return uncleared;
+}
+
+bool mergePartEvidence(PartEvidenceSet &evidence, const PartEvidenceSet &other)
+{
+    bool changed = false;
+    for (const auto &[key, part] : other)
+        changed |= mergeEvidence(evidence[key], part);
+    return changed;
+}
+
+BlamedParts findBlamedParts(const PartEvidenceSet &evidence, const CrashedProcesses &crashed,
+                            const PartTimes &writtenAt)
+{
+    std::vector<Suspect> suspects;
+    for (const auto &[key, part] : evidence)
+        suspects.push_back({ key, &part, unclearedCrashes(part) });
+    BlamedParts blamed;
+    while (const Suspect *suspect = selectSuspect(suspects, crashed, writtenAt)) {
+        blamed.parts.insert(suspect->key);
+        const ProcessSet explained = suspect->crashes;
+        blamed.processes.insert(explained.begin(), explained.end());
+        for (Suspect &other : suspects) {
+            std::erase_if(other.crashes, [&](const kernel::UpstreamId &process) {
+                return explained.contains(process);
+            });
+        }
+    }
+    return blamed;
+}
+
+PartEvidenceSet mostImportantParts(const PartEvidenceSet &evidence, std::size_t maxParts)
+{
+    using Item = const PartEvidenceSet::value_type *;
+    std::vector<Item> items;
+    for (const auto &item : evidence)
+        items.push_back(&item);
+    std::ranges::sort(items, [](Item a, Item b) {
+        return std::tuple(b->second.crashes.size(), newestTime(b->second), a->first)
+               < std::tuple(a->second.crashes.size(), newestTime(a->second), b->first);
+    });
+    items.resize(std::min(items.size(), maxParts));
+    PartEvidenceSet result;
+    for (const Item item : items)
+        result.insert(*item);
+    return result;
+}
+
+void expirePartEvidence(PartEvidenceSet &evidence, kernel::WallTime now)
+{
+    std::erase_if(evidence, [&](const auto &item) {
+        return now - newestTime(item.second) > partEvidenceLifetime;
+    });
+    if (evidence.size() > maxTrackedParts)
+        evidence = mostImportantParts(evidence, maxTrackedParts);
+}
+
+} // namespace acaciasail::forwarding
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -1,5 +1,8 @@
 #include "forwarding/internal/requestplan.h"
 
+#include <algorithm>
+#include <cctype>
+
 #include "forwarding/internal/attemptstate.h"
 #include "forwarding/internal/requestreport.h"
 #include "forwarding/internal/routematch.h"
@@ -19,6 +22,9 @@
 constexpr kernel::Duration stoppingRetryAfter = std::chrono::milliseconds(50);
 // Time from the exit of a process until its successor accepts requests.
 constexpr kernel::Duration restartTime = std::chrono::milliseconds(800);
+// Bounds of what is kept of a caller's prompt parts.
+constexpr std::size_t maxSharedParts = 64;
+constexpr std::size_t maxPartIdLength = 32;
 constexpr kernel::Duration noServiceRetryAfter = std::chrono::seconds(1);
 
 std::optional<Refusal> findRoute(const ForwardingState &state, const Request &request,
@@ -67,11 +73,22 @@
     return parts.empty() ? "" : parts[parts.size() > 1 ? parts.size() - 2 : 0].id;
 }
 
+// Returns the part's id, or a hash of an id that is not short plain text.
+std::string boundedPartId(const std::string &id)
+{
+    const bool isPlain = std::ranges::all_of(id, [](unsigned char byte) {
+        return std::isalnum(byte) != 0 || byte == '-' || byte == '_';
+    });
+    if (isPlain && id.size() <= maxPartIdLength)
+        return id;
+    return "hash-" + std::to_string(kernel::hash64(id));
+}
+
 std::vector<PromptPartKey> sharedPartsOf(const ModelWork &work, const kernel::ServiceName &service)
 {
     std::vector<PromptPartKey> shared;
-    for (std::size_t i = 0; i + 1 < work.parts.size(); ++i)
-        shared.push_back({ service, work.parts[i].id });
+    for (std::size_t i = 0; i + 1 < std::min(work.parts.size(), maxSharedParts + 1); ++i)
+        shared.push_back({ service, boundedPartId(work.parts[i].id) });
     return shared;
 }
 
@@ -109,7 +126,7 @@
         plan.meanWork = meanWork(recent);
     }
     plan.fingerprint = poison::makeFingerprint(plan.workspace, request.target, request.body);
-    if (crashesUpstreams(state.crashes, plan.fingerprint)) {
+    if (crashesUpstreams(state.crashes, plan.fingerprint, plan.sharedParts)) {
         logPoisonRefused(state, request, plan);
         return Refusal{ finalStatus({ .mayHaveRun = true }, EndReason::Failed),
                         "crashes_upstreams" };
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/requestreport.cpp
@@ -23,6 +23,26 @@
     recordResponseTime(state, plan.route.name, responseTime);
 }
 
+void logPartBlame(const PartCrashes &crashes, const PromptPartKey &key, bool blamed)
+{
+    const auto known = crashes.known.find(key);
+    const PartEvidence evidence = known == crashes.known.end() ? PartEvidence() : known->second;
+    const auto crashed = crashes.crashed.find(key.service);
+    const std::int64_t completedAt
+        = evidence.completedAt ? kernel::toMilliseconds(evidence.completedAt->time_since_epoch())
+                               : 0;
+    kernel::logEvent(
+        kernel::EventId::PromptPartBlamed,
+        { { "service", key.service },
+          { "part", key.part },
+          { "blamed", blamed },
+          { "crashes", unclearedCrashes(evidence).size() },
+          { "requests", evidence.requests.size() },
+          // Zero if no router has seen a request with the part run to completion.
+          { "completed_ms", completedAt },
+          { "crashed_upstreams", crashed == crashes.crashed.end() ? 0 : crashed->second.size() } });
+}
+
 } // namespace
 
 std::string listPromptParts(const std::vector<PromptPartKey> &parts)
@@ -116,14 +136,27 @@
         { { "upstream", upstream }, { "request", request.id }, { "change", "unparsable" } });
 }
 
+void logBlamedParts(ForwardingState &state, const BlameChange &change)
+{
+    for (const PromptPartKey &key : change.blamed) {
+        state.metrics.blamedParts().add();
+        logPartBlame(state.crashes.parts, key, true);
+    }
+    for (const PromptPartKey &key : change.cleared)
+        logPartBlame(state.crashes.parts, key, false);
+}
+
 void logPoisonRefused(const ForwardingState &state, const Request &request, const RequestPlan &plan)
 {
+    const std::optional<PromptPartKey> blamed
+        = findBlamedPart(state.crashes.parts, plan.sharedParts);
     kernel::logEvent(kernel::EventId::PoisonRefused,
                      { { "request", request.id },
                        { "route", plan.route.name },
                        { "fingerprint", plan.fingerprint },
                        { "crashes", countCrashes(state.crashes, plan.fingerprint) },
-                       { "own", poison::unclearedCrashes(state.crashes.own, plan.fingerprint) } });
+                       { "own", poison::unclearedCrashes(state.crashes.own, plan.fingerprint) },
+                       { "prompt_part", blamed ? blamed->part : "" } });
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/requestreport.h
@@ -46,6 +46,9 @@
 void logUnparsableLimit(ForwardingState &state, const Request &request,
                         const kernel::UpstreamId &upstream);
 
+/// Counts and logs the prompt parts that are found to crash upstreams, or no longer.
+void logBlamedParts(ForwardingState &state, const BlameChange &change);
+
 /// Logs that a request is refused because upstreams crashed while they ran it.
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -44,6 +44,12 @@
                             "Requests that were running at an upstream when it crashed", {});
 }
 
+metrics::Counter &ForwardingMetrics::blamedParts()
+{
+    return registry.counter("acaciasail_blamed_prompt_parts_total",
+                            "Parts of prompts that were found to crash upstreams", {});
+}
+
 metrics::Counter &ForwardingMetrics::notices(std::string_view kind)
 {
     return registry.counter("acaciasail_upstream_notices_total",
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -56,6 +56,7 @@
     metrics::Counter &attempts(std::string_view outcome);
     metrics::Counter &refusals(std::string_view reason);
     metrics::Counter &crashes();
+    metrics::Counter &blamedParts();
     metrics::Counter &notices(std::string_view kind);
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &responseTime(const std::string &kind);
--- a/src/forwarding/tests/crashevidence_tests.cpp
+++ b/src/forwarding/tests/crashevidence_tests.cpp
@@ -43,7 +43,7 @@
 }
 
 // Returns the evidence that is shared with the other routers at that time.
-poison::PoisonEvidenceSet takeShared(CrashEvidence &evidence, kernel::Duration time)
+CrashReport takeShared(CrashEvidence &evidence, kernel::Duration time)
 {
     EXPECT_TRUE(isShareDue(evidence, at(time)));
     return takeEvidenceToShare(evidence, at(time));
@@ -62,7 +62,7 @@
     EXPECT_TRUE(crashesUpstreams(evidence, poisonRequest));
     EXPECT_EQ(countRefusedRequests(evidence), 1U);
     EXPECT_FALSE(crashesUpstreams(evidence, harmlessRequest));
-    recordCompletedRun(evidence, poisonRequest, wall(2s));
+    recordCompletedRun(evidence, poisonRequest, {}, wall(2s));
     EXPECT_FALSE(crashesUpstreams(evidence, poisonRequest))
         << "a request that ran to completion is not poison";
 }
@@ -130,6 +130,27 @@
     EXPECT_TRUE(crashesUpstreams(evidence, poisonRequest));
 }
 
+TEST(CrashEvidence, CrashesThatAPartExplainsDoNotCountAgainstOtherRequests)
+{
+    const PromptPartKey bad{ kernel::ServiceName("engines"), "bad" };
+    CrashEvidence evidence;
+    for (int i = 0; i < 4; ++i) {
+        const std::string upstream = "u" + std::to_string(i);
+        const auto time = std::chrono::seconds(i);
+        LostRun crasher = makeLostRun(poison::Fingerprint(upstream), upstream, time);
+        crasher.sharedParts = { bad };
+        recordLostRun(evidence, crasher);
+        recordLostRun(evidence, makeLostRun(harmlessRequest, upstream, time));
+        recordUpstreamGone(evidence, kernel::UpstreamId(upstream), at(time));
+        classifyLostRuns(evidence, at(time + 500ms), wall(time));
+    }
+    EXPECT_TRUE(crashesUpstreams(evidence, harmlessRequest));
+    updateBlame(evidence.parts);
+    EXPECT_FALSE(crashesUpstreams(evidence, harmlessRequest));
+    EXPECT_TRUE(crashesUpstreams(evidence, poison::Fingerprint("new"), { bad }));
+    EXPECT_EQ(countRefusedRequests(evidence), 0U);
+}
+
 TEST(CrashEvidence, CrashSeenByTwoRoutersCountsOnce)
 {
     CrashEvidence local;
@@ -155,9 +176,9 @@
     recordConfirmedCrash(evidence, poisonRequest, "a", 0s);
     recordConfirmedCrash(evidence, poisonRequest, "b", 100ms);
     ASSERT_TRUE(isShareDue(evidence, at(100ms))) << "a second crash is shared at once";
-    const poison::PoisonEvidenceSet shared = takeEvidenceToShare(evidence, at(100ms));
-    EXPECT_TRUE(shared.evidence.contains(poisonRequest));
-    EXPECT_FALSE(shared.evidence.contains(harmlessRequest));
+    const CrashReport shared = takeEvidenceToShare(evidence, at(100ms));
+    EXPECT_TRUE(shared.requests.evidence.contains(poisonRequest));
+    EXPECT_FALSE(shared.requests.evidence.contains(harmlessRequest));
     recordConfirmedCrash(evidence, poisonRequest, "c", 200ms);
     EXPECT_FALSE(isShareDue(evidence, at(1s)));
     EXPECT_TRUE(isShareDue(evidence, at(1100ms)));
@@ -184,7 +205,7 @@
     recordConfirmedCrash(evidence, harmlessRequest, "a", 0s);
     recordProgress(evidence, harmlessRequest);
     EXPECT_FALSE(isShareDue(evidence, at(10s)));
-    recordCompletedRun(evidence, harmlessRequest, wall(10s));
+    recordCompletedRun(evidence, harmlessRequest, {}, wall(10s));
     EXPECT_FALSE(isShareDue(evidence, at(20s)));
     EXPECT_EQ(countCrashes(evidence, harmlessRequest), 0);
 
@@ -200,10 +221,10 @@
     CrashEvidence completer;
     recordConfirmedCrash(observer, harmlessRequest, "a", 0s);
     mergeCrashEvidence(completer, takeShared(observer, 1s));
-    recordCompletedRun(completer, harmlessRequest, wall(2s));
+    recordCompletedRun(completer, harmlessRequest, {}, wall(2s));
     mergeCrashEvidence(observer, takeShared(completer, 3s));
     EXPECT_EQ(countCrashes(observer, harmlessRequest), 0);
-    recordCompletedRun(completer, harmlessRequest, wall(4s));
+    recordCompletedRun(completer, harmlessRequest, {}, wall(4s));
     EXPECT_FALSE(isShareDue(completer, at(10s))) << "nothing is left to clear";
 }
 
@@ -222,7 +243,7 @@
     EXPECT_LE(evidence.own.evidence.size(), 1024U);
     EXPECT_LE(evidence.lost.size(), 1024U);
     EXPECT_LE(evidence.pending.size(), 1024U);
-    EXPECT_LE(takeShared(evidence, 6000s).evidence.size(), 64U);
+    EXPECT_LE(takeShared(evidence, 6000s).requests.evidence.size(), 64U);
     EXPECT_LE(evidence.gone.size(), 64U);
     EXPECT_TRUE(evidence.known.evidence.contains(poison::Fingerprint("4999")));
     EXPECT_TRUE(crashesUpstreams(evidence, poisonRequest)) << "refused requests are kept";
@@ -237,7 +258,7 @@
     restoreCrashEvidence(after, takeShared(before, 1s));
     EXPECT_TRUE(crashesUpstreams(after, poisonRequest));
     recordConfirmedCrash(after, harmlessRequest, "c", 2s);
-    EXPECT_TRUE(takeShared(after, 3s).evidence.contains(poisonRequest));
+    EXPECT_TRUE(takeShared(after, 3s).requests.evidence.contains(poisonRequest));
 }
 
 TEST(CrashEvidence, ShareBeforeRestoringDoesNotLoseEvidenceOfThePreviousProcess)
@@ -245,15 +266,15 @@
     CrashEvidence before;
     recordConfirmedCrash(before, poisonRequest, "a", 0s);
     recordConfirmedCrash(before, poisonRequest, "b", 0s);
-    const poison::PoisonEvidenceSet stored = takeShared(before, 2s);
+    const CrashReport stored = takeShared(before, 2s);
     CrashEvidence after;
     recordConfirmedCrash(after, harmlessRequest, "c", 3s);
     recordConfirmedCrash(after, harmlessRequest, "d", 3s);
-    const poison::PoisonEvidenceSet early = takeShared(after, 5s);
+    const CrashReport early = takeShared(after, 5s);
     restoreCrashEvidence(after, stored);
-    const poison::PoisonEvidenceSet shared = takeShared(after, 10s);
-    EXPECT_TRUE(shared.evidence.contains(poisonRequest));
-    EXPECT_TRUE(shared.evidence.contains(harmlessRequest));
+    const CrashReport shared = takeShared(after, 10s);
+    EXPECT_TRUE(shared.requests.evidence.contains(poisonRequest));
+    EXPECT_TRUE(shared.requests.evidence.contains(harmlessRequest));
     restoreCrashEvidence(after, shared);
     EXPECT_FALSE(isShareDue(after, at(20s))) << "the router's own report brings nothing new";
 }
--- a/src/forwarding/tests/crashingfleet.cpp
+++ b/src/forwarding/tests/crashingfleet.cpp
@@ -12,12 +12,10 @@
 constexpr kernel::Duration stepTime = 5ms;
 constexpr kernel::Duration promptTime = 60ms;
 constexpr kernel::Duration eventInterval = 50ms;
-constexpr int eventsPerStream = 12;
 constexpr int eventsBeforeCrash = 3;
 // Time from a crash until the store no longer lists the process, and until another one runs.
 constexpr kernel::Duration listedAfterCrash = 1500ms;
 constexpr kernel::Duration timeToReplace = 3s;
-constexpr kernel::Duration reportTime = 10ms;
 // Number of subjects that sound requests are about, and of callers' system prompts.
 constexpr std::size_t subjects = 40;
 constexpr std::size_t systemPrompts = 4;
@@ -91,7 +89,8 @@
     m_store[number] = deliverTo;
     for (std::size_t to = 0; to < m_routers.size(); ++to) {
         if (to != number)
-            m_deliveries.push_back({ now() + reportTime, [deliverTo, to] { deliverTo(to); } });
+            m_deliveries.push_back(
+                { now() + m_options.reportTime, [deliverTo, to] { deliverTo(to); } });
     }
 }
 
@@ -193,7 +192,7 @@
         Run run;
         run.send = send;
         run.upstream = upstream;
-        run.crashing = crashing;
+        run.crashing = crashing && m_partCrashes;
         run.lastEvent = std::atoi(resumed.c_str());
         run.dueAt = now() + promptTime;
         m_runs.push_back(std::move(run));
@@ -245,7 +244,7 @@
         run.headSent = true;
         run.dueAt = now() + stepTime;
         handlers.onHead({ 200, { { "proof", "p" }, { "events", "1" } } });
-    } else if (run.lastEvent == eventsPerStream) {
+    } else if (run.lastEvent == m_options.eventsPerStream) {
         handlers.onEnd(kernel::Done{});
         return;
     } else {
@@ -367,4 +366,12 @@
     return sent == 0 ? 0 : static_cast<double>(answered) / sent;
 }
 
+std::size_t CrashingFleet::maxBlamedParts() const
+{
+    std::size_t most = 0;
+    for (const auto &member : m_routers)
+        most = std::max(most, member->forwarder->state().crashes.parts.blamed.parts.size());
+    return most;
+}
+
 } // namespace acaciasail::forwarding::tests
--- a/src/forwarding/tests/crashingfleet.h
+++ b/src/forwarding/tests/crashingfleet.h
@@ -28,6 +28,9 @@
     bool crashingPartOpensPrompt = false;
     double crashingPerSecond = 6;
     double soundPerSecond = 60;
+    int eventsPerStream = 12;
+    /// Time until a router's report reaches the others.
+    kernel::Duration reportTime = std::chrono::milliseconds(10);
     std::uint64_t seed = 1;
 };
 
@@ -52,6 +55,8 @@
     /// Sends requests at random times to random running routers, and moves time on.
     void run(kernel::Duration time, bool withCrashingPart);
 
+    /// Sets whether the crashing part crashes upstreams; it does from the start.
+    void setPartCrashes(bool crashes) { m_partCrashes = crashes; }
     /// Starts a router; one that runs is killed first. It knows what the store holds.
     void startRouter(std::size_t number);
     /// Crashes this many upstreams, which no request caused.
@@ -66,6 +71,9 @@
     /// response; of those that share their first part only, if wanted.
     double answeredShare(kernel::Instant from, kernel::Instant to, bool onlySharedFirstPart) const;
 
+    /// Returns the largest number of parts that a router refuses.
+    std::size_t maxBlamedParts() const;
+
 private:
     struct Member
     {
@@ -126,6 +134,7 @@
     std::vector<std::shared_ptr<FakeResponder>> m_crashingResponders;
     std::vector<kernel::Instant> m_crashes;
     std::vector<kernel::Instant> m_crashingArrivals;
+    bool m_partCrashes = true;
     int m_lastRequest = 0;
     int m_lastProcess = 0;
 };
--- a/src/forwarding/tests/crashingpart_tests.cpp
+++ b/src/forwarding/tests/crashingpart_tests.cpp
@@ -89,6 +89,51 @@
     expectSoundRequestsServed(fleet, start, calmEnd, end);
 }
 
+TEST_P(CrashingPartTest, RestartedRoutersKnowThePart)
+{
+    CrashingFleet fleet(makeOptions());
+    fleet.run(5s, false);
+    fleet.run(10s, true);
+    const int before = fleet.crashingArrivalsSince({});
+    for (std::size_t i = 0; i < CrashingFleetOptions().routers; ++i) {
+        fleet.startRouter(i);
+        fleet.run(1s, true);
+    }
+    EXPECT_EQ(fleet.maxBlamedParts(), 1U);
+    EXPECT_LE(fleet.crashingArrivalsSince({}) - before, maxArrivalsAfterDetection);
+}
+
+TEST_P(CrashingPartTest, PartIsKnownDespiteSlowReports)
+{
+    CrashingFleetOptions options = makeOptions();
+    options.reportTime = 1s;
+    CrashingFleet fleet(options);
+    fleet.run(5s, false);
+    fleet.run(25s, true);
+    EXPECT_LE(fleet.crashingArrivalsSince(lastAllowedArrival(fleet)), maxArrivalsAfterDetection);
+}
+
+TEST(CrashingPart, UpstreamsThatCrashByThemselvesBlameNoPart)
+{
+    for (const std::size_t count : { 1, 3, 6, 12, 20 }) {
+        CrashingFleetOptions options;
+        options.seed = count;
+        CrashingFleet fleet(options);
+        fleet.run(5s, false);
+        const kernel::Instant start = fleet.now();
+        for (int round = 0; round < 6; ++round) {
+            fleet.crashUpstreams(count);
+            for (int i = 0; i < 25; ++i) {
+                fleet.run(100ms, false);
+                ASSERT_EQ(fleet.maxBlamedParts(), 0U) << count << " at once, round " << round;
+            }
+        }
+        const kernel::Instant end = fleet.now() - 1s;
+        fleet.run(3s, false);
+        EXPECT_GE(fleet.answeredShare(start, end, false), 0.9) << count << " at once";
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Moments, CrashingPartTest,
                          ::testing::Combine(::testing::Values(CrashMoment::BeforeHead,
                                                               CrashMoment::AfterHead,
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -551,11 +551,11 @@
     const auto innocent = fixture.sendRequest("/safe/x", "innocent");
     for (const auto &send : fixture.http.sends)
         send->reportSent();
-    poison::PoisonEvidenceSet received;
+    CrashReport received;
     const auto fingerprint
         = poison::makeFingerprint(kernel::WorkspaceId("makers"), "/safe/x", "crashing");
     for (const char *process : { "d7@0", "d8@0", "d9@0" }) {
-        poison::recordCrash(received, fingerprint, kernel::UpstreamId(process),
+        poison::recordCrash(received.requests, fingerprint, kernel::UpstreamId(process),
                             fixture.clock.scheduler().wallNow());
     }
     fixture.forwarder.mergeCrashEvidence(kernel::VmId("vm-2"), received);
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -49,6 +49,7 @@
     UpstreamRests = 3209,
     UpstreamLimited = 3210,
     CrashReportNotSent = 3211,
+    PromptPartBlamed = 3212,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
--- a/src/poison/internal/poisonbook.cpp
+++ b/src/poison/internal/poisonbook.cpp
@@ -51,15 +51,6 @@
     return crashes;
 }
 
-// Returns the number of crashes of upstreams while they ran the request, since it last completed.
-int countUnclearedCrashes(const PoisonEvidence &evidence)
-{
-    int count = 0;
-    for (const auto &[upstream, times] : evidence.crashTimes)
-        count += countCrashesAfter(times, evidence.completedAt);
-    return count;
-}
-
 using Entry = std::pair<const Fingerprint, PoisonEvidence>;
 
 // Returns the entries in order of importance. Refused requests come first, because a router that
@@ -75,7 +66,7 @@
     std::vector<Rank> ranks;
     ranks.reserve(book.evidence.size());
     for (const auto &entry : book.evidence) {
-        const bool refused = countUnclearedCrashes(entry.second) >= poisonCrashThreshold;
+        const bool refused = unclearedCrashes(entry.second) >= poisonCrashThreshold;
         ranks.push_back({ refused, newestEvidenceTime(entry.second), &entry });
     }
     const auto moreImportant = [](const Rank &a, const Rank &b) {
@@ -173,7 +164,15 @@
     const auto found = book.evidence.find(fingerprint);
     if (found == book.evidence.end())
         return 0;
-    return countUnclearedCrashes(found->second);
+    return unclearedCrashes(found->second);
+}
+
+int unclearedCrashes(const PoisonEvidence &evidence)
+{
+    int count = 0;
+    for (const auto &[upstream, times] : evidence.crashTimes)
+        count += countCrashesAfter(times, evidence.completedAt);
+    return count;
 }
 
 void expire(PoisonEvidenceSet &book, WallTime now)
--- a/src/poison/internal/poisonbook.h
+++ b/src/poison/internal/poisonbook.h
@@ -58,6 +58,7 @@
 /// Returns the number of crashes of upstreams while they ran the request, since it last ran to
 /// completion.
 int unclearedCrashes(const PoisonEvidenceSet &book, const Fingerprint &fingerprint);
+int unclearedCrashes(const PoisonEvidence &evidence);
 
 /// Removes expired evidence, and evidence beyond the capacity.
 void expire(PoisonEvidenceSet &book, kernel::WallTime now);
