A stopping router takes no request that it might not finish, and answers those that still run when it exits

Callers saw (report of another operator, and safe requests taken 3.8 to 4.8 s into the grace here): requests that came late in a planned stop were taken and passed on, and at the end of the grace their connections ended without a response, those of requests that may not be repeated too.

Cause: a request was taken if it would finish in time by the longest recent response of its route, times 1.25; one that took longer was cut by the exit of the process, which ended connections without a word.

Change: while other routers serve, a request is taken only if its caller's or its route's timeout ends before the exit; others are refused as not run, to come back in 50 ms. Requests whose response has not started 400 ms before the end of the grace are ended with 502 if they may have run, else with 503.

StoppingRouterAcceptsOnlyRequestsThatCanFinish expected that a request be taken by the estimate while others serve; it now expects the refusal, that requests whose callers wait for a shorter time are taken, and the estimate where no other router serves.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -19,8 +19,10 @@
 constexpr kernel::Duration drainCheckInterval = std::chrono::milliseconds(50);
 // The process may exit once no request has been in progress for this time.
 constexpr kernel::Duration drainIdleTime = std::chrono::milliseconds(200);
-// Part of the stop timeout that is reserved for the exit of the process itself.
-constexpr kernel::Duration exitMargin = std::chrono::milliseconds(400);
+// Part of the stop timeout that is reserved for the exit of the process itself, and the part before
+// it in which the requests that are still running get a final response.
+constexpr kernel::Duration exitMargin = std::chrono::milliseconds(250);
+constexpr kernel::Duration finalResponseTime = std::chrono::milliseconds(150);
 
 FileStamp readFileStamp(const std::string &file)
 {
@@ -258,8 +260,10 @@
         // The load balancer sends new connections here only if no other router is ready.
         const bool onlyReadyRouter
             = m_callerServer->connectionsAccepted() > *m_acceptedBeforeClosing;
-        m_forwarder.setExitDeadline(*m_drainStartedAt + m_settings.stopTimeout - exitMargin,
-                                    onlyReadyRouter);
+        const kernel::Duration timeToRun = m_settings.stopTimeout - exitMargin - finalResponseTime;
+        m_forwarder.setExitDeadline(*m_drainStartedAt + timeToRun, onlyReadyRouter);
+        if (elapsed >= timeToRun)
+            m_forwarder.endRequestsWithoutResponse();
         if (isReadyToExit() || elapsed >= m_settings.stopTimeout - exitMargin) {
             finishDrain();
             return;
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -216,6 +216,12 @@
     m_state.isOnlyRouter = onlyReadyRouter;
 }
 
+void Forwarder::endRequestsWithoutResponse()
+{
+    for (const std::shared_ptr<Job> &job : copyJobs())
+        job->onExit();
+}
+
 void Forwarder::armTick()
 {
     m_tick = kernel::Timer(m_state.scheduler, tickInterval, [this] { tick(); });
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -79,6 +79,9 @@
     /// Refuses new requests that might still run at `end`; requests in progress continue.
     /// `onlyReadyRouter` tells that callers can reach no other router until this one is back.
     void setExitDeadline(kernel::Instant end, bool onlyReadyRouter);
+    /// Ends the requests whose callers have not received any of a response, with one that says so.
+    /// The process is about to exit; without this, their connections would end without a response.
+    void endRequestsWithoutResponse();
     /// Changes the settings that can change at run time.
     void setOptions(const ForwardingOptions &options);
 
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -346,6 +346,16 @@
     finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
 }
 
+void Job::onExit()
+{
+    const auto self = shared_from_this();
+    if (m_done || m_attempts.responseStarted)
+        return;
+    if (m_attempt && m_exchange)
+        finishAttempt(AttemptOutcome::Cancelled);
+    finishWithoutResponse(EndReason::Failed, "stopping");
+}
+
 void Job::failAttempt(AttemptFailure failure, std::string_view detail)
 {
     const auto self = shared_from_this();
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -36,6 +36,10 @@
     /// crashes upstreams and no response has started yet.
     void onCrashEvidence();
 
+    /// Handles that the process is about to exit: ends this request unless its response has
+    /// started.
+    void onExit();
+
 private:
     // State of the attempt in progress.
     struct Attempt
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/requestplan.cpp
@@ -40,9 +40,8 @@
         return Refusal{ notFound, "route_unknown" };
     plan.route = *route;
     plan.effectiveRank = route->rank;
-    const kernel::Instant now = request.arrived;
-    if (!canFinishBeforeExit(state, plan.route, now)) {
-        const kernel::Duration untilBack = *state.exitDeadline - now + restartTime;
+    if (!canFinishBeforeExit(state, plan.route, request)) {
+        const kernel::Duration untilBack = *state.exitDeadline - request.arrived + restartTime;
         return Refusal{ unavailable, "stopping",
                         state.isOnlyRouter ? untilBack : stoppingRetryAfter };
     }
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -157,20 +157,21 @@
     longest = std::max(kernel::scaled(longest, longestResponseDecay), responseTime);
 }
 
-bool canFinishBeforeExit(const ForwardingState &state, const Route &route, kernel::Instant now)
+bool canFinishBeforeExit(const ForwardingState &state, const Route &route, const Request &request)
 {
     if (!state.exitDeadline)
         return true;
-    const bool stream = route.kind == RequestKind::Streaming;
+    kernel::Duration longest
+        = std::min(route.timeout, request.callerTimeout.value_or(route.timeout));
+    // If other routers serve, they take a request that might not finish in time. If this is the
+    // only router, an estimate is better than a refusal.
     const auto known = state.longestResponseTimes.find(route.name);
-    kernel::Duration longest = route.timeout;
-    // If other routers serve, they take a stream that might not finish in time. If this is the only
-    // router, an estimate is better than a refusal.
-    if (known != state.longestResponseTimes.end() && (!stream || state.isOnlyRouter)) {
+    if (state.isOnlyRouter && known != state.longestResponseTimes.end()) {
+        const bool stream = route.kind == RequestKind::Streaming;
         const double margin = stream ? longestStreamMargin : longestResponseMargin;
         longest = std::min(longest, kernel::scaled(known->second, margin));
     }
-    return now + longest + exitDeadlineMargin < *state.exitDeadline;
+    return request.arrived + longest + exitDeadlineMargin < *state.exitDeadline;
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -138,6 +138,6 @@
                         kernel::Duration responseTime);
 
 /// Returns whether a request that arrives now will finish before the process exits.
-bool canFinishBeforeExit(const ForwardingState &state, const Route &route, kernel::Instant now);
+bool canFinishBeforeExit(const ForwardingState &state, const Route &route, const Request &request);
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -227,17 +227,43 @@
     fixture.http.last().respond(200, "ok");
     const kernel::Instant end = fixture.clock.now() + 2s;
     fixture.forwarder.setExitDeadline(end, false);
-    EXPECT_FALSE(fixture.sendRequest("/safe/x")->ended);
-    const auto unmeasured = fixture.sendRequest("/unsafe/x");
-    EXPECT_EQ(unmeasured->status, 503) << "the route's timeout ends after the exit deadline";
-    EXPECT_EQ(unmeasured->header("retry-after"), "0.050000");
-    fixture.clock.advance(1500ms);
+    for (const char *path : { "/safe/x", "/unsafe/x" }) {
+        const auto refused = fixture.sendRequest(path);
+        EXPECT_EQ(refused->status, 503) << "it may take longer than any request before";
+        EXPECT_EQ(refused->header("retry-after"), "0.050000");
+        Request impatient = fixture.request(path);
+        impatient.callerTimeout = 1s;
+        EXPECT_FALSE(fixture.sendRequest(impatient)->ended)
+            << "its caller waits no longer than that";
+    }
     fixture.forwarder.setExitDeadline(end, true);
+    EXPECT_FALSE(fixture.sendRequest("/safe/x")->ended) << "no other router serves";
+    EXPECT_EQ(fixture.sendRequest("/unsafe/x")->status, 503) << "its route's times aren't known";
+    fixture.clock.advance(1500ms);
     const auto late = fixture.sendRequest("/safe/x");
     EXPECT_EQ(late->status, 503);
     EXPECT_EQ(late->header("retry-after"), "1.300000") << "the router has restarted by then";
 }
 
+TEST(ForwarderTest, StoppingRouterAnswersRequestsThatAreStillRunning)
+{
+    ForwarderFixture fixture;
+    const auto sent = fixture.sendRequest("/unsafe/x");
+    fixture.http.last().reportSent();
+    const auto connecting = fixture.sendRequest("/unsafe/x");
+    const auto stream = fixture.sendRequest("/once/x");
+    fixture.http.last().reportSent();
+    fixture.http.last().head(200, { { "proof", "p" }, { "events", "1" } });
+    fixture.http.last().body("id: 1\ndata: x\n\n");
+    fixture.forwarder.endRequestsWithoutResponse();
+    EXPECT_EQ(sent->status, 502) << "it may have run";
+    EXPECT_TRUE(fixture.http.sends[0]->cancelled);
+    EXPECT_EQ(connecting->status, 503);
+    EXPECT_NE(connecting->header("retry-after"), "");
+    EXPECT_FALSE(stream->ended) << "the rest of the stream may come in time";
+    EXPECT_EQ(fixture.forwarder.inProgress(), 1U);
+}
+
 TEST(ForwarderTest, RestartedUpstreamGetsNewRecord)
 {
     ForwarderFixture fixture;
