A response that ends with its connection is no proof that its upstream lives

A crash ends connections in good order too, so a stream with neither length nor chunks that was cut by a crash looked complete: it cleared the request and the parts of its prompt of all earlier crashes, and a stream cut before its first event was passed on as a whole, empty one.

Such a response now counts as complete for the evidence once a probe finds its upstream alive, and as a crash if the upstream is gone. A stream that ends with its connection before any event was broken off; it is resumed like one that ends within an event.

--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashevidence.cpp
@@ -136,10 +136,19 @@
     }
 }
 
-void recordUpstreamAlive(CrashEvidence &evidence, const kernel::UpstreamId &upstream)
+void recordUpstreamAlive(CrashEvidence &evidence, const kernel::UpstreamId &upstream,
+                         kernel::WallTime wallNow)
 {
-    std::erase_if(evidence.lost,
-                  [&](const LostRun &run) { return run.upstream == upstream && !run.goneAt; });
+    std::vector<LostRun> complete;
+    std::erase_if(evidence.lost, [&](const LostRun &run) {
+        if (run.upstream != upstream || run.goneAt)
+            return false;
+        if (run.mayBeComplete)
+            complete.push_back(run);
+        return true;
+    });
+    for (const LostRun &run : complete)
+        recordCompletedRun(evidence, run.fingerprint, run.sharedParts, wallNow);
     const auto gone = evidence.gone.find(upstream);
     if (gone != evidence.gone.end())
         gone->second.returned = true;
@@ -149,9 +158,12 @@
                                       kernel::WallTime wallNow)
 {
     for (LostRun &run : evidence.lost) {
-        if (!run.goneAt && now - run.lostAt >= lostRunTimeout)
+        if (!run.goneAt && !run.mayBeComplete && now - run.lostAt >= lostRunTimeout)
             run.goneAt = run.lostAt;
     }
+    std::erase_if(evidence.lost, [&](const LostRun &run) {
+        return run.mayBeComplete && !run.goneAt && now - run.lostAt >= lostRunTimeout;
+    });
     recordCrashesOfParts(evidence, now, wallNow);
     std::vector<LostRun> crashed;
     std::ranges::copy_if(evidence.lost, std::back_inserter(crashed), [&](const LostRun &run) {
@@ -204,7 +216,8 @@
     const std::set<kernel::UpstreamId> &explained = evidence.parts.blamed.processes;
     std::set<kernel::UpstreamId> lost;
     for (const LostRun &run : evidence.lost) {
-        if (run.fingerprint == fingerprint && !explained.contains(run.process))
+        const bool mayBeCrash = run.goneAt || !run.mayBeComplete;
+        if (run.fingerprint == fingerprint && mayBeCrash && !explained.contains(run.process))
             lost.insert(run.process);
     }
     const auto known = evidence.known.evidence.find(fingerprint);
--- a/src/forwarding/internal/crashevidence.h
+++ b/src/forwarding/internal/crashevidence.h
@@ -27,6 +27,8 @@
     std::optional<kernel::Instant> goneAt;
     /// The request finished without a response, so its caller may send it again to any router.
     bool unanswered = false;
+    /// The response ended with its connection: it is complete, unless the upstream crashed.
+    bool mayBeComplete = false;
     /// The crash was recorded as evidence on the parts of the prompt.
     bool countsForParts = false;
 };
@@ -86,8 +88,9 @@
 void recordUpstreamGone(CrashEvidence &evidence, const kernel::UpstreamId &upstream,
                         kernel::Instant now);
 /// Records that the upstream can be reached, so its recent lost runs had another cause than a
-/// crash.
-void recordUpstreamAlive(CrashEvidence &evidence, const kernel::UpstreamId &upstream);
+/// crash, and those that may be complete are.
+void recordUpstreamAlive(CrashEvidence &evidence, const kernel::UpstreamId &upstream,
+                         kernel::WallTime wallNow);
 /// Classifies the lost runs for which the evidence suffices; returns those during which the
 /// upstream crashed.
 std::vector<LostRun> classifyLostRuns(CrashEvidence &evidence, kernel::Instant now,
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -138,7 +138,7 @@
     if (!added) {
         // The requests that ran at the previous process were lost with it.
         recordUpstreamGone(m_state.crashes, upstream.id, m_state.scheduler.now());
-        recordUpstreamAlive(m_state.crashes, upstream.id);
+        recordUpstreamAlive(m_state.crashes, upstream.id, m_state.scheduler.wallNow());
     }
     record = {};
     record.startedAtMs = upstream.startedAtMs;
@@ -413,7 +413,7 @@
         onProbeFailed(id, outcome.error().code);
         return;
     }
-    recordUpstreamAlive(m_state.crashes, id);
+    recordUpstreamAlive(m_state.crashes, id, m_state.scheduler.wallNow());
     const auto record = m_state.records.find(id);
     if (record == m_state.records.end() || !record->second.unreachable)
         return;
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -73,6 +73,7 @@
 {
     const auto self = shared_from_this();
     m_attempt->lastActivity = now();
+    m_attempt->endsWithConnection = clientHead.endsWithConnection;
     ResponseHead head = m_state.wire.decodeHead(clientHead);
     recordNotices(head);
     if (head.wrongUpstream || head.notRun) {
@@ -250,9 +251,12 @@
         failAttempt(AttemptFailure::Lost, "stream ended within an event");
         return;
     }
+    if (head.isEventStream && m_attempt->endsWithConnection && !m_lastEventId) {
+        failAttempt(AttemptFailure::Lost, "stream ended without an event");
+        return;
+    }
     review(reviewEnd);
-    recordCompletedRun(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts,
-                       m_state.scheduler.wallNow());
+    recordCompleteResponse();
     finishAttempt(AttemptOutcome::Succeeded);
     deliverResponse();
 }
@@ -299,6 +303,31 @@
     }
 }
 
+// The end of a connection ends a response without a length, and is also what a crash looks like.
+void Job::recordCompleteResponse()
+{
+    if (m_attempt->endsWithConnection)
+        recordLost(true);
+    else
+        recordCompletedRun(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts,
+                           m_state.scheduler.wallNow());
+}
+
+void Job::recordLost(bool mayBeComplete)
+{
+    recordLostRun(
+        m_state.crashes,
+        { .request = m_request.id,
+          .fingerprint = m_plan.fingerprint,
+          .sharedParts = isUpstreamLeaving() ? std::vector<PromptPartKey>() : m_plan.sharedParts,
+          .upstream = m_attempt->upstream,
+          .process = m_attempt->process,
+          .startedAt = m_attempt->startedAt,
+          .lostAt = now(),
+          .mayBeComplete = mayBeComplete });
+    m_state.upstreamsToProbe.insert(m_attempt->upstream);
+}
+
 void Job::recordPossibleCrash(AttemptOutcome outcome)
 {
     if (m_attempt->suspect)
@@ -310,16 +339,7 @@
     const bool unreachable = record != m_state.records.end() && record->second.unreachable;
     if (!m_attempt->sent || !(broken || (unanswered && unreachable)))
         return;
-    recordLostRun(
-        m_state.crashes,
-        { .request = m_request.id,
-          .fingerprint = m_plan.fingerprint,
-          .sharedParts = isUpstreamLeaving() ? std::vector<PromptPartKey>() : m_plan.sharedParts,
-          .upstream = m_attempt->upstream,
-          .process = m_attempt->process,
-          .startedAt = m_attempt->startedAt,
-          .lostAt = now() });
-    m_state.upstreamsToProbe.insert(m_attempt->upstream);
+    recordLost(false);
 }
 
 // An upstream that leaves may exit while it still runs requests, without a crash.
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -61,6 +61,8 @@
         bool suspect = false;
         std::optional<ResponseHead> head;
         std::string body;
+        // Only the end of the connection ends the response.
+        bool endsWithConnection = false;
         bool firstByteSeen = false;
         kernel::Instant firstEventAt{};
         // The response has been written for a while without a crash.
@@ -124,6 +126,8 @@
     bool isPoison() const;
     // Records an attempt that finished without a response as evidence on crashes.
     void recordPossibleCrash(AttemptOutcome outcome);
+    void recordCompleteResponse();
+    void recordLost(bool mayBeComplete);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
     void review(void (*update)(ResponseReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
--- a/src/forwarding/tests/crashevidence_tests.cpp
+++ b/src/forwarding/tests/crashevidence_tests.cpp
@@ -73,15 +73,15 @@
     for (int i = 0; i < 10; ++i) {
         recordLostRun(evidence, makeLostRun(harmlessRequest, "a", 0s));
         recordLostRun(evidence, makeLostRun(harmlessRequest, "b", 0s));
-        recordUpstreamAlive(evidence, kernel::UpstreamId("a"));
-        recordUpstreamAlive(evidence, kernel::UpstreamId("b"));
+        recordUpstreamAlive(evidence, kernel::UpstreamId("a"), wall(0s));
+        recordUpstreamAlive(evidence, kernel::UpstreamId("b"), wall(0s));
     }
     EXPECT_EQ(countCrashes(evidence, harmlessRequest), 0);
     recordLostRun(evidence, makeLostRun(poisonRequest, "a", 0s));
     recordLostRun(evidence, makeLostRun(poisonRequest, "b", 0s));
     EXPECT_EQ(countCrashes(evidence, poisonRequest), 2);
     recordUpstreamGone(evidence, kernel::UpstreamId("a"), at(100ms));
-    recordUpstreamAlive(evidence, kernel::UpstreamId("a"));
+    recordUpstreamAlive(evidence, kernel::UpstreamId("a"), wall(0s));
     EXPECT_EQ(classifyLostRuns(evidence, at(600ms), wall(1s)).size(), 1U)
         << "the upstream returned after its crash";
     EXPECT_TRUE(classifyLostRuns(evidence, at(1900ms), wall(1s)).empty());
@@ -96,7 +96,7 @@
     recordUpstreamGone(evidence, kernel::UpstreamId("a"), at(0s));
     recordLostRun(evidence, makeLostRun(harmlessRequest, "a", 1s));
     EXPECT_EQ(countCrashes(evidence, harmlessRequest), 0);
-    recordUpstreamAlive(evidence, kernel::UpstreamId("a"));
+    recordUpstreamAlive(evidence, kernel::UpstreamId("a"), wall(0s));
     recordLostRun(evidence, makeLostRun(poisonRequest, "a", 3s));
     EXPECT_EQ(countCrashes(evidence, poisonRequest), 1);
 }
@@ -151,6 +151,28 @@
     EXPECT_EQ(countRefusedRequests(evidence), 0U);
 }
 
+TEST(CrashEvidence, ResponseThatEndsWithItsConnectionIsCompleteOnlyIfUpstreamIsAlive)
+{
+    const PromptPartKey part{ kernel::ServiceName("engines"), "part" };
+    CrashEvidence evidence;
+    LostRun run = makeLostRun(poisonRequest, "a", 0s);
+    run.mayBeComplete = true;
+    run.sharedParts = { part };
+    recordLostRun(evidence, run);
+    EXPECT_EQ(countCrashes(evidence, poisonRequest), 0);
+    recordUpstreamAlive(evidence, kernel::UpstreamId("a"), wall(100ms));
+    EXPECT_TRUE(evidence.parts.completedAt.contains(part));
+    recordConfirmedCrash(evidence, poisonRequest, "b", 1s);
+    recordLostRun(evidence, run);
+    recordUpstreamGone(evidence, kernel::UpstreamId("a"), at(2s));
+    EXPECT_EQ(countCrashes(evidence, poisonRequest), 2);
+    EXPECT_EQ(classifyLostRuns(evidence, at(3s), wall(3s)).size(), 1U);
+    EXPECT_EQ(evidence.parts.known[part].crashes.size(), 1U);
+    run.upstream = kernel::UpstreamId("c");
+    recordLostRun(evidence, run);
+    EXPECT_TRUE(classifyLostRuns(evidence, at(10s), wall(10s)).empty()) << "it is not known";
+}
+
 TEST(CrashEvidence, CrashSeenByTwoRoutersCountsOnce)
 {
     CrashEvidence local;
--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -82,6 +82,7 @@
     self->m_head.status = static_cast<int>(parser->status_code);
     if ((parser->flags & F_CONTENTLENGTH) != 0)
         self->m_head.contentLength = parser->content_length;
+    self->m_head.endsWithConnection = (parser->flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
     self->m_keepAlive = http_should_keep_alive(parser) != 0;
     if (self->m_handlers.onHead)
         self->m_handlers.onHead(self->m_head);
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -42,6 +42,8 @@
     Headers headers;
     /// The body's length, where the answer states one.
     std::optional<std::uint64_t> contentLength;
+    /// The answer has neither a length nor chunks, so only the end of its connection ends it.
+    bool endsWithConnection = false;
 };
 
 /// Receives an answer as it arrives. Each function may be empty.
