--- a/src/app/router/tests/crashingrequest_tests.cpp
+++ b/src/app/router/tests/crashingrequest_tests.cpp
@@ -9,6 +9,7 @@
 using namespace acaciasail;
 using namespace acaciasail::router;
 using namespace acaciasail::router::testing;
+using acaciasail::platform::testing::addPrompt;
 using acaciasail::platform::testing::makeCallerRequest;
 using acaciasail::platform::testing::makeConfigurationSpec;
 using acaciasail::platform::testing::RunnerStandin;
@@ -79,12 +80,15 @@
     std::string path() const { return "/" + std::string(GetParam()) + "/x"; }
 
     // Sends a request to a router, waits for the response and returns the status; 0 without one.
-    int sendRequest(std::size_t router, const std::string &body)
+    int sendRequest(std::size_t router, const std::string &body,
+                    const std::vector<std::string> &promptParts = {})
     {
         http::ClientRequest request
             = makeCallerRequest(m_routers[router]->callersEndpoint(), path(),
                                 "q" + std::to_string(++m_requestCount), 4s);
         request.body = body;
+        if (!promptParts.empty())
+            addPrompt(request, promptParts);
         std::optional<int> status;
         m_client.fetch(request, [&](const kernel::Completion<http::ClientResponse> &outcome) {
             status = outcome.ok() ? outcome.value().head.status : 0;
@@ -146,6 +150,24 @@
         }
     }
 
+    // Runners that crash are not replaced as long as the store is away, so there are more of them.
+    void prepareForStoreOutage()
+    {
+        constexpr std::size_t runnersDuringOutage = 40;
+        while (m_runners.size() < runnersDuringOutage)
+            addRunner();
+        ASSERT_TRUE(m_loop.runUntil(
+            [this] {
+                return std::ranges::all_of(m_routers, [](const auto &router) {
+                    const forwarding::ForwardingState &state = router->forwarder().state();
+                    return state.directory.upstreams.size() == runnersDuringOutage
+                           && state.limitSharing.routers.size() == routerCount;
+                });
+            },
+            waitTimeout));
+        m_replacementTimer.cancel();
+    }
+
     http::EventLoop m_loop;
     StoreStandin m_store;
     http::Client m_client;
@@ -157,6 +179,82 @@
 
 const std::vector<std::size_t> allRouters{ 0, 1, 2, 3, 4 };
 
+// No two of the crashing requests are alike; they have a part of their prompts in common.
+class CrashingPartOnLoopbackTest : public CrashingRequestTest
+{
+protected:
+    static constexpr int crashesToDetectPart = 5;
+
+    int sendCrashing(std::size_t router)
+    {
+        const std::string own = std::to_string(++m_crashingRequests);
+        return sendRequest(router, crashingBody + own, { "system", "bad", "own" + own });
+    }
+
+    int sendSound(std::size_t router)
+    {
+        const std::string own = std::to_string(++m_crashingRequests);
+        return sendRequest(router, "sound", { "system", "subject", "own" + own });
+    }
+
+    // Sends crashing requests to one router after another until there were enough crashes.
+    void crashRunnersByPart()
+    {
+        const int before = crashes();
+        for (std::size_t i = 0; crashes() - before < crashesToDetectPart; ++i) {
+            ASSERT_LT(i, 20U);
+            sendCrashing(i % routerCount);
+            m_loop.runUntil([] { return false; }, 100ms);
+        }
+    }
+
+    void waitUntilPartIsBlamed()
+    {
+        m_loop.runUntil(
+            [&] {
+                return std::ranges::all_of(m_routers, [](const auto &router) {
+                    return router->forwarder().state().crashes.parts.blamed.parts.size() == 1;
+                });
+            },
+            detectionTimeout);
+    }
+
+    void sendToAllRoutersOnce()
+    {
+        for (std::size_t i = 0; i < routerCount; ++i)
+            sendCrashing(i);
+    }
+
+    void expectSoundRequestsServed()
+    {
+        for (std::size_t i = 0; i < routerCount; ++i)
+            EXPECT_EQ(sendSound(i), 200) << "it shares the key and the first part";
+    }
+
+    // Checks all routers before and after they restart. `crashAfterEvents` is as in
+    // RunnerBehaviour.
+    void checkNotSentAgain(std::optional<int> crashAfterEvents)
+    {
+        prepareForStoreOutage();
+        for (const auto &runner : m_runners)
+            runner->behaviour().crashAfterEvents = crashAfterEvents;
+        expectSoundRequestsServed();
+        crashRunnersByPart();
+        waitUntilPartIsBlamed();
+        const int before = crashes();
+        sendToAllRoutersOnce();
+        expectSoundRequestsServed();
+        for (std::size_t i = 0; i < routerCount; ++i)
+            startRouter(i);
+        waitUntilPartIsBlamed();
+        sendToAllRoutersOnce();
+        EXPECT_LE(crashes() - before, maxCrashesAfterDetection);
+        expectSoundRequestsServed();
+    }
+
+    int m_crashingRequests = 0;
+};
+
 } // namespace
 
 TEST_P(CrashingRequestTest, IsNotSentAgainByAnyRouter)
@@ -220,20 +318,7 @@
 
 TEST_P(CrashingRequestTest, IsNotSentAgainWhileStoreIsAway)
 {
-    // Runners that crash are not replaced as long as the store is away.
-    constexpr std::size_t runnersDuringOutage = 40;
-    while (m_runners.size() < runnersDuringOutage)
-        addRunner();
-    ASSERT_TRUE(m_loop.runUntil(
-        [this] {
-            return std::ranges::all_of(m_routers, [](const auto &router) {
-                const forwarding::ForwardingState &state = router->forwarder().state();
-                return state.directory.upstreams.size() == runnersDuringOutage
-                       && state.limitSharing.routers.size() == routerCount;
-            });
-        },
-        waitTimeout));
-    m_replacementTimer.cancel();
+    prepareForStoreOutage();
     for (const StoreBehaviour behaviour :
          { StoreBehaviour::Unresponsive, StoreBehaviour::ResetsConnections }) {
         m_store.setBehaviour(behaviour);
@@ -253,5 +338,36 @@
     }
 }
 
+TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainIfRunnersCrashBeforeHead)
+{
+    checkNotSentAgain(std::nullopt);
+}
+
+TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainIfRunnersCrashAfterHead)
+{
+    checkNotSentAgain(0);
+}
+
+TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainIfRunnersCrashWithinStream)
+{
+    checkNotSentAgain(2);
+}
+
+TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainWhileStoreIsAway)
+{
+    prepareForStoreOutage();
+    expectSoundRequestsServed();
+    m_store.setBehaviour(StoreBehaviour::Unresponsive);
+    crashRunnersByPart();
+    m_loop.runUntil([] { return false; }, detectionTimeout);
+    const int before = crashes();
+    sendToAllRoutersOnce();
+    sendToAllRoutersOnce();
+    EXPECT_LE(crashes() - before, maxCrashesAfterDetection);
+    expectSoundRequestsServed();
+}
+
+INSTANTIATE_TEST_SUITE_P(Streams, CrashingPartOnLoopbackTest, ::testing::Values("chat"));
+
 INSTANTIATE_TEST_SUITE_P(RouteKinds, CrashingRequestTest, ::testing::Values("desk", "read", "chat"),
                          [](const auto &info) { return std::string(info.param); });
