--- a/src/app/router/tests/crashingrequest_tests.cpp
+++ b/src/app/router/tests/crashingrequest_tests.cpp
@@ -236,8 +236,11 @@
     void checkNotSentAgain(std::optional<int> crashAfterEvents)
     {
         prepareForStoreOutage();
-        for (const auto &runner : m_runners)
+        for (const auto &runner : m_runners) {
             runner->behaviour().crashAfterEvents = crashAfterEvents;
+            // A stream must not be complete after a few crashes.
+            runner->behaviour().eventsPerStream = 30;
+        }
         expectSoundRequestsServed();
         crashRunnersByPart();
         waitUntilPartIsBlamed();
