--- a/soak/crashingrequests.h
+++ b/soak/crashingrequests.h
@@ -5,7 +5,8 @@
 namespace acaciasail::soak {
 
 /// Repeatedly sends requests that crash each runner that starts to run them, and records those that
-/// routers still forward after the time in which they must have recognised the request.
+/// routers still forward after the time in which they must have recognised the request, or the part
+/// that the prompts of unlike requests share.
 class CrashingRequests
 {
 public:
@@ -15,15 +16,20 @@
     CrashingRequests &operator=(const CrashingRequests &) = delete;
 
 private:
-    // A request that is sent repeatedly, each time with a new id.
+    // A request that is sent repeatedly, each time with a new id, or unlike requests with a common
+    // prompt part.
     struct Crasher
     {
         std::string path;
+        // Beginning of the bodies; the whole body of a request that is repeated.
         std::string body;
+        bool isPart = false;
         std::size_t firstRouter = 0;
         kernel::Instant until{};
         int crashes = 0;
-        kernel::Instant thirdCrash{};
+        // Number of crashes after which routers must recognise it, and when the last of them came.
+        int crashesToKnow = 0;
+        kernel::Instant knowableAt{};
         int laterCrashes = 0;
     };
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -217,6 +217,9 @@
     place->standin->behaviour().eventsPerStream = eventsPerStream;
     place->standin->behaviour().work = usualWork;
     place->standin->behaviour().crashBodyPrefix = crashingBody;
+    // Every second runner writes a head before it crashes.
+    if (m_lastRunner % 2 == 0)
+        place->standin->behaviour().crashAfterEvents = 0;
     place->standin->setCrashHandler(
         [this, id = place->id](const platform::testing::ReceivedRequest &request) {
             onRunnerCrash(id, request);
--- a/src/forwarding/internal/partcrashes.cpp
+++ b/src/forwarding/internal/partcrashes.cpp
@@ -33,6 +33,7 @@
     if (times.size() <= count)
         return;
     std::vector<kernel::WallTime> sorted;
+    sorted.reserve(times.size());
     for (const auto &[key, time] : times)
         sorted.push_back(time);
     const auto oldestKept = sorted.end() - static_cast<std::ptrdiff_t>(count);
--- a/src/forwarding/internal/partevidence.cpp
+++ b/src/forwarding/internal/partevidence.cpp
@@ -27,6 +27,9 @@
 constexpr kernel::Duration commonCauseWindow = std::chrono::milliseconds(500);
 constexpr int eventsToBlame = 3;
 
+// A part that was at this share of another part's crashes or more was at about as many.
+constexpr double similarCrashesShare = 0.75;
+
 using ProcessSet = std::set<kernel::UpstreamId>;
 
 struct Suspect
@@ -37,6 +40,15 @@
     ProcessSet crashes;
 };
 
+// What is known beside the evidence on the suspects.
+struct BlameContext
+{
+    const CrashedProcesses &crashed;
+    const PartTimes &writtenAt;
+    // Crashes that parts which are blamed already explain.
+    const ProcessSet &explained;
+};
+
 std::vector<kernel::WallTime> sortedCrashTimes(const Suspect &suspect)
 {
     std::vector<kernel::WallTime> times;
@@ -59,17 +71,20 @@
     return count;
 }
 
-// Returns whether the part was at half or more of the crashes between its first and its last one.
+// Returns whether the part was at half or more of the crashes between its first and its last one
+// that have no other explanation.
 bool explainsMostCrashes(const Suspect &suspect, const std::vector<kernel::WallTime> &sortedTimes,
-                         const CrashedProcesses &crashed)
+                         const BlameContext &context)
 {
-    const auto ofService = crashed.find(suspect.key.service);
-    if (ofService == crashed.end())
+    const auto ofService = context.crashed.find(suspect.key.service);
+    if (ofService == context.crashed.end())
         return true;
     const kernel::WallTime from = sortedTimes.front() - commonCauseWindow;
     const kernel::WallTime to = sortedTimes.back() + commonCauseWindow;
     const auto others = std::ranges::count_if(ofService->second, [&](const auto &item) {
-        return item.second >= from && item.second <= to && !suspect.crashes.contains(item.first);
+        const auto &[process, time] = item;
+        return time >= from && time <= to && !suspect.crashes.contains(process)
+               && !context.explained.contains(process);
     });
     return static_cast<std::size_t>(others) <= suspect.crashes.size();
 }
@@ -83,35 +98,33 @@
     return soundAt && firstCrash - *soundAt < recentlySound;
 }
 
-bool isBlamable(const Suspect &suspect, const CrashedProcesses &crashed, const PartTimes &writtenAt)
+bool isBlamable(const Suspect &suspect, const BlameContext &context)
 {
     if (suspect.crashes.size() < crashesToBlame
         || suspect.evidence->requests.size() < requestsToBlame)
         return false;
     const std::vector<kernel::WallTime> times = sortedCrashTimes(suspect);
-    if (wasSoundBefore(suspect, times.front(), writtenAt)
+    if (wasSoundBefore(suspect, times.front(), context.writtenAt)
         && countSeparateEvents(times) < eventsToBlame)
         return false;
-    return explainsMostCrashes(suspect, times, crashed);
+    return explainsMostCrashes(suspect, times, context);
 }
 
 // Returns the suspect to blame next. Sound parts that the crashing requests share are at about as
 // many crashes as the crashing part, but have been completed more recently.
-const Suspect *selectSuspect(const std::vector<Suspect> &suspects, const CrashedProcesses &crashed,
-                             const PartTimes &writtenAt)
+const Suspect *selectSuspect(const std::vector<Suspect> &suspects, const BlameContext &context)
 {
-    constexpr std::size_t nominator = 3;
-    constexpr std::size_t denominator = 4;
     std::vector<const Suspect *> blamable;
     std::size_t mostCrashes = 0;
     for (const Suspect &suspect : suspects) {
-        if (!isBlamable(suspect, crashed, writtenAt))
+        if (!isBlamable(suspect, context))
             continue;
         blamable.push_back(&suspect);
         mostCrashes = std::max(mostCrashes, suspect.crashes.size());
     }
+    const double minCrashes = similarCrashesShare * static_cast<double>(mostCrashes);
     std::erase_if(blamable, [&](const Suspect *suspect) {
-        return suspect->crashes.size() * denominator < mostCrashes * nominator;
+        return static_cast<double>(suspect->crashes.size()) < minCrashes;
     });
     const auto selected
         = std::ranges::min_element(blamable, [](const Suspect *a, const Suspect *b) {
@@ -179,7 +192,8 @@
     for (const auto &[key, part] : evidence)
         suspects.push_back({ key, &part, unclearedCrashes(part) });
     BlamedParts blamed;
-    while (const Suspect *suspect = selectSuspect(suspects, crashed, writtenAt)) {
+    const BlameContext context{ crashed, writtenAt, blamed.processes };
+    while (const Suspect *suspect = selectSuspect(suspects, context)) {
         blamed.parts.insert(suspect->key);
         const ProcessSet explained = suspect->crashes;
         blamed.processes.insert(explained.begin(), explained.end());
--- a/src/forwarding/tests/partevidence_tests.cpp
+++ b/src/forwarding/tests/partevidence_tests.cpp
@@ -98,6 +98,19 @@
     EXPECT_EQ(blamedParts(crashes), std::set{ part("bad") });
 }
 
+TEST(PartEvidence, TwoPartsThatCrashUpstreamsAtTheSameTimeAreBlamed)
+{
+    PartCrashes crashes;
+    for (int i = 0; i < 13; ++i) {
+        const bool isFirst = i % 3 != 0;
+        recordCrashOf(crashes, { "shared", isFirst ? "first" : "second" }, processName(i),
+                      "r" + std::to_string(i), std::chrono::milliseconds(100 * i));
+    }
+    recordPartsCompleted(crashes, { part("shared") }, wall(1100ms));
+    const std::set expected{ part("first"), part("second") };
+    EXPECT_EQ(blamedParts(crashes), expected);
+}
+
 TEST(PartEvidence, PartAtFewOfTheCrashesIsNotBlamed)
 {
     PartCrashes crashes;
