--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -11,7 +11,10 @@
 
 // Bytes of an answer's head above which it is taken as malformed.
 constexpr std::size_t maxHeadBytes = 64U << 10U;
-constexpr int firstFinalStatus = 200;
+constexpr unsigned int firstStatus = 100;
+constexpr unsigned int switchingProtocols = 101;
+constexpr unsigned int firstFinalStatus = 200;
+constexpr unsigned int lastStatus = 599;
 // http_parser's return values of the headers callback.
 constexpr int headersOk = 0;
 constexpr int headersNoBody = 1;
@@ -71,14 +74,27 @@
     return m_parser.status_code < firstFinalStatus;
 }
 
+// An interim response has no body, so one that states a body could be read in two ways, and so could
+// a response that is framed twice. No request asks for a change of protocol.
+bool AnswerParser::isHeadValid() const
+{
+    const unsigned int status = m_parser.status_code;
+    if (status < firstStatus || status > lastStatus || status == switchingProtocols)
+        return false;
+    if (countHeaders(m_head.headers, "content-length") > 1)
+        return false;
+    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length > 0;
+    const bool statesBody = hasLength || (m_parser.flags & F_CHUNKED) != 0;
+    return !(interim() && statesBody);
+}
+
 int AnswerParser::onHeadersComplete(http_parser *parser)
 {
     AnswerParser *self = of(parser);
+    if (!self->isHeadValid())
+        return headersFailed;
     if (self->interim())
         return headersOk;
-    // An answer that is framed twice could be read in two ways.
-    if (countHeaders(self->m_head.headers, "content-length") > 1)
-        return headersFailed;
     self->m_head.status = static_cast<int>(parser->status_code);
     if ((parser->flags & F_CONTENTLENGTH) != 0)
         self->m_head.contentLength = parser->content_length;
--- a/src/framework/http/internal/answerparser.h
+++ b/src/framework/http/internal/answerparser.h
@@ -13,7 +13,8 @@
 
 /// Reads one answer from a connection's bytes, by the http_parser library.
 ///
-/// Interim answers (1xx) are skipped. Bytes after the answer's end are counted, not read.
+/// Interim answers (1xx) are skipped; one that states a body is malformed. Bytes after the answer's
+/// end are counted, not read.
 class AnswerParser
 {
 public:
@@ -58,6 +59,7 @@
 
     State run(const char *bytes, std::size_t length);
     bool interim() const;
+    bool isHeadValid() const;
 
     http_parser m_parser{};
     Handlers m_handlers;
--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -110,6 +110,35 @@
     EXPECT_EQ(parse({ "HTTP/1.1 204 No Content\r\n\r\n" }).state, AnswerParser::State::Complete);
 }
 
+// Guards against the body of an interim response that becomes part of the final one.
+TEST(AnswerParserTest, RefusesInterimResponseWithBody)
+{
+    const std::string body(300, '!');
+    for (const std::string &framing :
+         { std::string("content-length: 300\r\n\r\n") + body,
+           std::string("transfer-encoding: chunked\r\n\r\n12c\r\n") + body + "\r\n0\r\n\r\n" }) {
+        for (const char *status : { "100", "103", "199" }) {
+            const Parsed result
+                = parse({ "HTTP/1.1 " + std::string(status) + " x\r\n" + framing + sized });
+            EXPECT_EQ(result.state, AnswerParser::State::Malformed) << status;
+            EXPECT_EQ(result.status, 0);
+            EXPECT_EQ(result.body, "");
+        }
+    }
+}
+
+// Guards against a status that is neither interim nor final, and against a change of protocol that
+// nobody asked for.
+TEST(AnswerParserTest, RefusesStatusThatNoRequestAsksFor)
+{
+    for (const char *status : { "0", "99", "101", "600" }) {
+        const Parsed result
+            = parse({ "HTTP/1.1 " + std::string(status) + " x\r\ncontent-length: 5\r\n\r\nhello" });
+        EXPECT_EQ(result.state, AnswerParser::State::Malformed) << status;
+        EXPECT_EQ(result.body, "");
+    }
+}
+
 // However the bytes arrive, the same answer comes out.
 RC_GTEST_PROP(AnswerParserProperty, IsCutAnywhere, ())
 {
