--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -7,10 +7,8 @@
 namespace {
 
 constexpr double longestResponseDecay = 0.999;
-// Factors by which a response may take longer than the longest recorded one. A stream's length
-// depends on its text and its engine's load, so its margin is larger.
+// Factor by which a response may take longer than the longest recorded one.
 constexpr double longestResponseMargin = 1.25;
-constexpr double longestStreamMargin = 2;
 constexpr double slowestConnectDecay = 0.995;
 constexpr int connectTimeoutFactor = 10;
 constexpr kernel::Duration minConnectTimeout = std::chrono::milliseconds(50);
@@ -164,13 +162,12 @@
     kernel::Duration longest
         = std::min(route.timeout, request.callerTimeout.value_or(route.timeout));
     // If other routers serve, they take a request that might not finish in time. If this is the
-    // only router, an estimate is better than a refusal.
+    // only router, an estimate is better than a refusal, except for a stream: one that lasts longer
+    // would be cut at the exit, whereas other requests still get a response.
     const auto known = state.longestResponseTimes.find(route.name);
-    if (state.isOnlyRouter && known != state.longestResponseTimes.end()) {
-        const bool stream = route.kind == RequestKind::Streaming;
-        const double margin = stream ? longestStreamMargin : longestResponseMargin;
-        longest = std::min(longest, kernel::scaled(known->second, margin));
-    }
+    const bool mayEstimate = state.isOnlyRouter && route.kind != RequestKind::Streaming;
+    if (mayEstimate && known != state.longestResponseTimes.end())
+        longest = std::min(longest, kernel::scaled(known->second, longestResponseMargin));
     return request.arrived + longest + exitDeadlineMargin < *state.exitDeadline;
 }
 
--- a/src/forwarding/tests/forwarder_tests.cpp
+++ b/src/forwarding/tests/forwarder_tests.cpp
@@ -199,23 +199,26 @@
     EXPECT_EQ(fixture.steps.back().second.state, RolloutState::RolledBack);
 }
 
-// Guards against cut streams at the end of a rolling restart: streams may take longer than any
-// recorded before.
-TEST(ForwarderTest, StoppingRouterRefusesStreams)
+// Guards against streams that are cut when a stopping router exits: a stream may take longer than
+// any recorded before, also at the only router that serves.
+TEST(ForwarderTest, StoppingRouterRefusesStreamsThatMayOutlastIt)
 {
-    ForwarderFixture fixture;
-    fixture.sendRequest("/once/x");
-    fixture.clock.advance(400ms);
-    fixture.http.last().respond(200, "ok");
-    const kernel::Instant end = fixture.clock.now() + 2s;
-    fixture.forwarder.setExitDeadline(end, false);
-    const auto refused = fixture.sendRequest("/once/x");
-    EXPECT_EQ(refused->status, 503);
-    EXPECT_EQ(refused->header("retry-after"), "0.050000");
-    fixture.forwarder.setExitDeadline(end, true);
-    EXPECT_FALSE(fixture.sendRequest("/once/x")->ended) << "no other router serves";
-    fixture.forwarder.setExitDeadline(fixture.clock.now() + 800ms, true);
-    EXPECT_EQ(fixture.sendRequest("/once/x")->status, 503);
+    for (const char *path : { "/once/x", "/chat/x" }) {
+        ForwarderFixture fixture;
+        fixture.sendRequest(path);
+        fixture.clock.advance(400ms);
+        fixture.http.last().respond(200, "ok");
+        for (const bool isOnlyRouter : { false, true }) {
+            fixture.forwarder.setExitDeadline(fixture.clock.now() + 2s, isOnlyRouter);
+            const auto refused = fixture.sendRequest(path);
+            EXPECT_EQ(refused->status, 503);
+            EXPECT_EQ(refused->header("retry-after"), isOnlyRouter ? "2.800000" : "0.050000");
+            Request impatient = fixture.request(path);
+            impatient.callerTimeout = 1s;
+            EXPECT_FALSE(fixture.sendRequest(impatient)->ended)
+                << "its caller waits no longer than that";
+        }
+    }
 }
 
 TEST(ForwarderTest, StoppingRouterAcceptsOnlyRequestsThatCanFinish)
