--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -25,6 +25,7 @@
 #include "forwarding/internal/rolloutplan.h"
 #include "forwarding/internal/routematch.h"
 #include "forwarding/internal/state.h"
+#include "forwarding/internal/streamevent.h"
 #include "forwarding/internal/types.h"
 #include "forwarding/internal/upstreamchoice.h"
 #include "forwarding/internal/upstreamlimit.h"
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -144,10 +144,22 @@
         }
         return;
     }
-    const bool usable
-        = m_splitter.feed(piece, [this](const StreamEvent &event) { onEvent(event); });
-    if (!usable && m_attempt)
-        failAttempt(AttemptFailure::InvalidResponse, "event exceeds the size limit");
+    const EventSplitter::Result result
+        = m_splitter.feed(piece, [this](const StreamEvent &event) { return onEvent(event); });
+    if (m_done || result == EventSplitter::Result::Ok)
+        return;
+    std::string detail(result == EventSplitter::Result::TooLong ? "event exceeds the size limit"
+                                                                : toString(m_eventFault));
+    detail.append(" at byte ").append(std::to_string(m_splitter.offset()));
+    failAttempt(AttemptFailure::InvalidResponse, detail);
+}
+
+// Returns the id of the last event that the caller has, from this request or an earlier one.
+std::optional<StreamEventId> Job::lastReceivedEventId() const
+{
+    if (m_lastEventId || !m_plan.route.resumable)
+        return m_lastEventId;
+    return m_request.resumeAfter;
 }
 
 // Bytes that do not complete an event do not count as activity: only events reset the inactivity
@@ -185,16 +197,22 @@
     });
 }
 
-void Job::onEvent(const StreamEvent &event)
+EventUse Job::onEvent(const StreamEvent &event)
 {
     if (m_done)
-        return;
+        return EventUse::Rejected;
+    const EventReading reading = readEvent(event.bytes, lastReceivedEventId());
+    m_eventFault = reading.fault;
+    if (m_eventFault != EventFault::None)
+        return EventUse::Rejected;
+    if (reading.isComment)
+        return EventUse::Ignored;
     recordEvent();
     startResponse();
     m_responder->write(event.bytes);
-    if (event.id)
-        m_lastEventId = event.id;
+    m_lastEventId = reading.id;
     applyBackpressure();
+    return EventUse::Accepted;
 }
 
 void Job::recordFirstByte()
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -82,6 +82,7 @@
     kernel::Duration timeLeft() const;
     kernel::Duration currentInactivityTimeout() const;
 
+    std::optional<StreamEventId> lastReceivedEventId() const;
     VersionChoice versionForSession() const;
     bool isAnyUpstreamAvailable() const;
     void startNextAttempt();
@@ -104,7 +105,7 @@
     void onSent();
     void onHead(const http::ClientHead &clientHead);
     void onBody(std::string_view piece);
-    void onEvent(const StreamEvent &event);
+    EventUse onEvent(const StreamEvent &event);
     void recordEvent();
     void applyBackpressure();
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
@@ -164,7 +165,9 @@
     std::unique_ptr<http::Exchange> m_loadExchange;
     std::unique_ptr<http::Exchange> m_exchange;
     EventSplitter m_splitter;
-    std::optional<std::string> m_lastEventId;
+    // Id of the last event that was sent to the caller.
+    std::optional<StreamEventId> m_lastEventId;
+    EventFault m_eventFault = EventFault::None;
     std::string m_model;
     std::string m_lastUpstream;
     kernel::Instant m_firstByteAt{};
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "forwarding/internal/streamevent.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
 
@@ -218,6 +219,8 @@
     /// Timeout that the caller stated; not set if the caller stated none.
     std::optional<kernel::Duration> callerTimeout;
     std::optional<ModelWork> work;
+    /// Id of the last event that the caller has received; set if the caller resumes a stream.
+    std::optional<StreamEventId> resumeAfter;
     kernel::Instant arrived{};
 };
 
@@ -232,7 +235,7 @@
     /// Urgency from 0 to 9; 0 is the most urgent.
     int urgency = 5;
     /// Id of the last event that the caller has received; set when a stream is resumed.
-    std::optional<std::string> resumeAfter;
+    std::optional<StreamEventId> resumeAfter;
     /// Maximum idle time of a kept-alive connection that is used for the attempt.
     kernel::Duration maxIdle{};
     kernel::Duration connectTimeout{};
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -193,11 +193,14 @@
     std::size_t position = 0;
     while (position < stream.size()) {
         const auto length = *rc::gen::inRange<std::size_t>(1, 12);
-        const bool usable = splitter.feed(
+        const auto result = splitter.feed(
             std::string_view(stream).substr(position, length), [&](const StreamEvent &event) {
-                emitted.push_back(event.id.value_or("") + "|" + std::string(event.bytes));
+                const EventReading reading = readEvent(event.bytes, std::nullopt);
+                emitted.push_back(std::to_string(reading.id.count()) + "|"
+                                  + std::string(event.bytes));
+                return EventUse::Accepted;
             });
-        RC_ASSERT(usable);
+        RC_ASSERT(result == EventSplitter::Result::Ok);
         position += length;
     }
     RC_ASSERT(emitted == expected);
@@ -208,7 +211,101 @@
 {
     EventSplitter splitter;
     const std::string piece(EventSplitter::maxEventBytes + 1, 'x');
-    EXPECT_FALSE(splitter.feed(piece, [](const StreamEvent &) {}));
+    EXPECT_EQ(splitter.feed(piece, [](const StreamEvent &) { return EventUse::Accepted; }),
+              EventSplitter::Result::TooLong);
+}
+
+TEST(EventSplitterTest, StopsAtRejectedEvent)
+{
+    EventSplitter splitter;
+    std::vector<std::uint64_t> offsets;
+    const auto result = splitter.feed("id: 1\n\n\r\nid: 2\n\nid: 3\n\n",
+                                      [&](const StreamEvent &event) {
+                                          offsets.push_back(event.offset);
+                                          return offsets.size() == 2 ? EventUse::Rejected
+                                                                     : EventUse::Accepted;
+                                      });
+    EXPECT_EQ(result, EventSplitter::Result::Rejected);
+    EXPECT_EQ(offsets, (std::vector<std::uint64_t>{ 0, 9 }));
+    EXPECT_EQ(splitter.offset(), 9U);
+}
+
+// Guards against an upstream that sends empty lines or comments without end.
+TEST(EventSplitterTest, IgnoresBoundedNumberOfBytesBetweenEvents)
+{
+    for (const std::string &ignored : { std::string("\n"), std::string("\r\n"),
+                                        std::string(":\n\n"), std::string(": ping\r\n\r\n") }) {
+        EventSplitter splitter;
+        int accepted = 0;
+        const auto onEvent = [&](const StreamEvent &event) {
+            if (readEvent(event.bytes, std::nullopt).isComment)
+                return EventUse::Ignored;
+            EXPECT_TRUE(event.bytes == "id: 1\n\n");
+            ++accepted;
+            return EventUse::Accepted;
+        };
+        std::size_t bytes = 0;
+        auto result = EventSplitter::Result::Ok;
+        for (int i = 0; i < 20 && result == EventSplitter::Result::Ok; ++i)
+            result = splitter.feed("id: 1\n\n" + ignored, onEvent);
+        EXPECT_EQ(result, EventSplitter::Result::Ok);
+        EXPECT_EQ(accepted, 20);
+        EXPECT_FALSE(splitter.partial());
+        while (result == EventSplitter::Result::Ok
+               && bytes <= EventSplitter::maxIgnoredBytes + ignored.size()) {
+            result = splitter.feed(ignored, onEvent);
+            bytes += ignored.size();
+        }
+        EXPECT_EQ(result, EventSplitter::Result::TooLong);
+    }
+}
+
+TEST(StreamEventTest, AcceptsSoundSpellings)
+{
+    for (const char *event :
+         { "id: 5\ndata: a\n\n", "id:5\ndata:a\n\n", "id: 5\r\ndata: a\r\n\r\n",
+           "data: a\ndata: b\nid: 5\n\n", ": note\nid: 5\ndata: a\n\n", "id: 5\n\n",
+           "event: token\nretry: 10\nid: 5\ndata\n\n", "version-of-x: 3\nid: 5\ndata: a\n\n",
+           "id: 5\ndata: id: 3\ndata: :x\n\n" }) {
+        const EventReading reading = readEvent(event, StreamEventId(2));
+        EXPECT_EQ(reading.fault, EventFault::None) << event;
+        EXPECT_FALSE(reading.isComment);
+        EXPECT_EQ(reading.id, StreamEventId(5)) << event;
+    }
+    EXPECT_EQ(readEvent("id: 0\n\n", std::nullopt).fault, EventFault::None);
+    for (const char *comment : { ":\n\n", ": ping\r\n\r\n", ": a\n: b\n\n" })
+        EXPECT_TRUE(readEvent(comment, StreamEventId(2)).isComment) << comment;
+}
+
+// Guards against bytes of a faulty upstream that become part of a stream because an empty line
+// follows them.
+TEST(StreamEventTest, RejectsWhatIsNotNextEvent)
+{
+    const std::vector<std::pair<std::string, EventFault>> faulty{
+        { "data: a\n\n", EventFault::IdMissing },
+        { "ID: 5\n\n", EventFault::IdMissing },
+        { "id\ndata: a\n\n", EventFault::IdInvalid },
+        { "id:\n\n", EventFault::IdInvalid },
+        { "id: x\n\n", EventFault::IdInvalid },
+        { "id: -5\n\n", EventFault::IdInvalid },
+        { "id: +5\n\n", EventFault::IdInvalid },
+        { "id: 05\n\n", EventFault::IdInvalid },
+        { "id: 5.0\n\n", EventFault::IdInvalid },
+        { "id: 5 6\n\n", EventFault::IdInvalid },
+        { "id: 99999999999999999999\n\n", EventFault::IdInvalid },
+        { "id: 5\nid: 5\n\n", EventFault::IdRepeated },
+        { "id: 2\n\n", EventFault::IdNotIncreasing },
+        { "id: 1\n\n", EventFault::IdNotIncreasing },
+        { "garbage\nid: 5\n\n", EventFault::MalformedLine },
+        { "garbage\n\n", EventFault::MalformedLine },
+        { "g\xff: a\nid: 5\n\n", EventFault::MalformedLine },
+        { "id: 5\ndata: a\rid: 1\n\n", EventFault::MalformedLine },
+        { "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n", EventFault::MalformedLine },
+    };
+    for (const auto &[event, fault] : faulty) {
+        EXPECT_EQ(readEvent(event, StreamEventId(2)).fault, fault) << event;
+        EXPECT_FALSE(readEvent(event, StreamEventId(2)).isComment);
+    }
 }
 
 TEST(ModelChoice, UsesSmallestFirstAndEscalatesOnLowConfidence)
--- a/src/forwarding/tests/fakes.cpp
+++ b/src/forwarding/tests/fakes.cpp
@@ -134,7 +134,8 @@
         result.headers.push_back({ "model", context.model });
         result.headers.push_back(
             { "left", std::to_string(kernel::toMilliseconds(context.timeLeft)) });
-        result.headers.push_back({ "resume", context.resumeAfter.value_or("") });
+        if (context.resumeAfter)
+            result.headers.push_back({ "resume", std::to_string(context.resumeAfter->count()) });
         return result;
     };
     wire.decodeHead = [](const http::ClientHead &head) {
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -265,6 +265,98 @@
     EXPECT_TRUE(caller->aborted);
 }
 
+// Guards against bytes of a faulty upstream that reach the caller as an event of its stream.
+TEST(JobTest, FaultyEventIsNotForwarded)
+{
+    for (const char *faulty :
+         { "data: x\n\n", "id:\ndata: x\n\n", "id: x\ndata: x\n\n", "id: 0\nid: 9\ndata: x\n\n",
+           "garbage\n\n", "HTTP/1.1 200 OK\r\nproof: p\r\n\r\nid: 1\ndata: a\n\n" }) {
+        for (const int before : { 0, 1, 2 }) {
+            for (const char *path : { "/chat/x", "/once/x" }) {
+                const bool resumable = std::string_view(path) == "/chat/x";
+                const std::string sound = std::string(firstEvent) + std::string(secondEvent);
+                const std::string sent
+                    = sound.substr(0, static_cast<std::size_t>(before) * firstEvent.size());
+                ForwarderFixture fixture;
+                const auto caller = fixture.sendRequest(path);
+                const auto first = fixture.http.sends.back();
+                first->reportSent();
+                first->head(200, events);
+                first->body(sent + faulty + sound.substr(sent.size()));
+                EXPECT_TRUE(first->cancelled);
+                EXPECT_EQ(caller->body, sent);
+                ASSERT_EQ(fixture.http.sends.size(), resumable ? 2U : 1U);
+                if (!resumable) {
+                    EXPECT_EQ(caller->aborted, before > 0);
+                    EXPECT_EQ(caller->status, before > 0 ? 200 : 502);
+                    continue;
+                }
+                FakeSend &second = fixture.http.last();
+                EXPECT_EQ(sentHeader(second, "resume"), before > 0 ? std::to_string(before) : "");
+                second.reportSent();
+                second.head(200, events);
+                second.body(sound.substr(sent.size()));
+                second.complete();
+                EXPECT_EQ(caller->body, sound);
+                EXPECT_TRUE(caller->ended && !caller->aborted);
+            }
+        }
+    }
+}
+
+// Guards against an event that a caller gets twice, from one upstream or from two.
+TEST(JobTest, EventThatCameBeforeIsNotForwarded)
+{
+    ForwarderFixture fixture;
+    const auto caller = fixture.sendRequest("/chat/x");
+    for (int send = 0; send < 3; ++send) {
+        ASSERT_EQ(fixture.http.sends.size(), send + 1U);
+        const auto last = fixture.http.sends.back();
+        EXPECT_EQ(sentHeader(*last, "resume"), send == 0 ? "" : "2");
+        last->reportSent();
+        last->head(200, events);
+        // The first upstream goes back to an event; the others repeat an event instead of resuming.
+        if (send == 0)
+            last->body(std::string(firstEvent) + std::string(secondEvent));
+        last->body(send == 2 ? secondEvent : firstEvent);
+        EXPECT_TRUE(last->cancelled);
+    }
+    EXPECT_EQ(caller->body, std::string(firstEvent) + std::string(secondEvent));
+    EXPECT_TRUE(caller->aborted) << "no upstream is left that could resume the stream";
+}
+
+TEST(JobTest, ResumedStreamBeginsAfterCallersLastEvent)
+{
+    for (const char *path : { "/chat/x", "/once/x" }) {
+        ForwarderFixture fixture;
+        Request request = fixture.request(path);
+        request.resumeAfter = StreamEventId(1);
+        const auto caller = fixture.sendRequest(request);
+        const auto send = fixture.http.sends.back();
+        send->reportSent();
+        send->head(200, events);
+        send->body(firstEvent);
+        const bool resumable = std::string_view(path) == "/chat/x";
+        EXPECT_EQ(send->cancelled, resumable) << path;
+        EXPECT_EQ(caller->body, resumable ? "" : firstEvent);
+    }
+}
+
+TEST(JobTest, CommentsBetweenEventsAreLeftOut)
+{
+    ForwarderFixture fixture;
+    const auto caller = fixture.sendRequest("/once/x");
+    FakeSend &send = fixture.http.last();
+    send.reportSent();
+    send.head(200, events);
+    send.body(": ping\n\n");
+    EXPECT_EQ(caller->status, 0) << "a comment is not the first event";
+    send.body("\n" + std::string(firstEvent) + ": ping\r\n\r\n" + std::string(secondEvent) + "\n");
+    send.complete();
+    EXPECT_EQ(caller->body, std::string(firstEvent) + std::string(secondEvent));
+    EXPECT_TRUE(caller->ended && !caller->aborted);
+}
+
 TEST(JobTest, LowConfidenceEscalatesToLargestModel)
 {
     ForwarderFixture fixture;
