HTTP client: interim responses count towards the bound of a head

Callers of other services saw waits while an upstream sent interim responses without end: 24 of 88 sound requests answered in 4 s, 21 MB held.

Cause: each interim response was whole, and none counted towards the bound of the head that they precede. Trailers were kept, although nobody reads them.

All bytes before the end of the final head now count; trailers are counted and dropped.

The comment that stood over RequestThatWasGivenUpCannotArriveLater belonged to the test of heads and is gone; no check changed.

--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -9,8 +9,10 @@
 
 namespace {
 
-// Bytes of an answer's head above which it is taken as malformed.
+// Bytes of an answer's head, with the interim answers before it, above which it is taken as malformed.
 constexpr std::size_t maxHeadBytes = 64U << 10U;
+// Bytes of a header besides its name and value.
+constexpr std::size_t headerSeparatorBytes = 4;
 constexpr unsigned int firstStatus = 100;
 constexpr unsigned int switchingProtocols = 101;
 constexpr unsigned int firstFinalStatus = 200;
@@ -19,6 +21,8 @@
 constexpr int headersOk = 0;
 constexpr int headersNoBody = 1;
 constexpr int headersFailed = -1;
+// Return value of the other callbacks that ends the parsing.
+constexpr int callbackFailed = 1;
 
 } // namespace
 
@@ -48,25 +52,37 @@
 int AnswerParser::onField(http_parser *parser, const char *at, std::size_t length)
 {
     AnswerParser *self = of(parser);
-    if (self->m_readingValue || self->m_head.headers.empty())
+    if (self->m_headComplete)
+        return self->countHeadBytes(length);
+    if (self->m_readingValue || self->m_head.headers.empty()) {
         self->m_head.headers.emplace_back();
+        self->m_headBytes += headerSeparatorBytes;
+    }
     self->m_readingValue = false;
     std::string &name = self->m_head.headers.back().name;
     for (std::size_t i = 0; i < length; ++i)
         name += static_cast<char>(std::tolower(static_cast<unsigned char>(at[i])));
-    self->m_headBytes += length;
-    return self->m_headBytes > maxHeadBytes ? 1 : 0;
+    return self->countHeadBytes(length);
 }
 
 int AnswerParser::onValue(http_parser *parser, const char *at, std::size_t length)
 {
     AnswerParser *self = of(parser);
+    if (self->m_headComplete)
+        return self->countHeadBytes(length);
     self->m_readingValue = true;
     if (self->m_head.headers.empty())
-        return 1;
+        return callbackFailed;
     self->m_head.headers.back().value.append(at, length);
-    self->m_headBytes += length;
-    return self->m_headBytes > maxHeadBytes ? 1 : 0;
+    return self->countHeadBytes(length);
+}
+
+// Counts bytes of a head, or of the trailers that follow a body and are not kept. Returns the result
+// of a parser's callback.
+int AnswerParser::countHeadBytes(std::size_t count)
+{
+    m_headBytes += count;
+    return m_headBytes > maxHeadBytes ? callbackFailed : 0;
 }
 
 bool AnswerParser::interim() const
@@ -95,6 +111,7 @@
         return headersFailed;
     if (self->interim())
         return headersOk;
+    self->m_headComplete = true;
     self->m_head.status = static_cast<int>(parser->status_code);
     if ((parser->flags & F_CONTENTLENGTH) != 0)
         self->m_head.contentLength = parser->content_length;
@@ -132,7 +149,10 @@
     m_consumed = http_parser_execute(&m_parser, &callbacks(), bytes, length);
     if (m_complete)
         return State::Complete;
-    const bool failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0;
+    if (!m_headComplete)
+        m_bytesBeforeHead += length;
+    const bool failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0
+                        || m_bytesBeforeHead > maxHeadBytes;
     return failed ? State::Malformed : State::Reading;
 }
 
--- a/src/framework/http/internal/answerparser.h
+++ b/src/framework/http/internal/answerparser.h
@@ -60,14 +60,18 @@
     State run(const char *bytes, std::size_t length);
     bool interim() const;
     bool isHeadValid() const;
+    int countHeadBytes(std::size_t count);
 
     http_parser m_parser{};
     Handlers m_handlers;
     ClientHead m_head;
     std::size_t m_headBytes = 0;
+    // Bytes fed without completing the final head, including interim answers.
+    std::size_t m_bytesBeforeHead = 0;
     std::size_t m_consumed = 0;
     bool m_answersHead;
     bool m_readingValue = false;
+    bool m_headComplete = false;
     bool m_complete = false;
     bool m_keepAlive = false;
 };
--- a/src/framework/http/tests/clientfaults_tests.cpp
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -170,7 +170,6 @@
     m_loop.runUntil([] { return false; }, 20ms);
 }
 
-// Whatever an upstream sends without end, the request ends truthfully and little of it is held.
 TEST_F(ClientFaults, RequestThatWasGivenUpCannotArriveLater)
 {
     send();
@@ -195,6 +194,29 @@
     EXPECT_TRUE(m_server.awaitReset());
 }
 
+// Guards against interim responses without end, each of which is whole.
+TEST_F(ClientFaults, InterimResponsesWithoutEndAreNoAnswer)
+{
+    for (const std::string &interim : { std::string("HTTP/1.1 100 Continue\r\n\r\n"),
+                                        std::string("HTTP/1.1 103 E\r\na:\r\n\r\n") }) {
+        std::string many;
+        while (many.size() < 8000)
+            many += interim;
+        send();
+        m_server.awaitRequest();
+        for (int i = 0; i < 100 && !m_end; ++i) {
+            m_server.send(many);
+            m_loop.runUntil([&] { return m_end.has_value(); }, 2ms);
+        }
+        m_server.send(whole);
+        EXPECT_EQ(end(), kernel::ResultCode::UpstreamProtocol);
+    }
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 E\r\na: b\r\n\r\n" + whole);
+    EXPECT_EQ(end(), kernel::ResultCode::Ok);
+}
+
 TEST_F(ClientFaults, AHeadWithoutEndIsNoAnswer)
 {
     const std::string line = "x-more: " + std::string(8000, 'a') + "\r\n";
