HTTP client: bound what one read of an upstream's connection brings

A faulty upstream that sends a body without end took 409 MB with 12 fast callers in 4 s (301 MB with a 500, 82 MB chunked), and 40 of 88 sound requests to another service were answered.

Cause: one read takes all that the system holds for a connection, several megabytes, which stands in up to four buffers at once before backpressure begins. A client that reads after a pause got pieces of 3.5 MB.

Evidence, on the code before: ClientFaults.ReadsBodyInSmallPieces failed (3,473,408 bytes, 262,144 allowed). The receive buffer of connections to upstreams is now 64 KiB.

sockettimeouts is renamed to socketoptions, as it now sets more than timeouts.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -14,7 +14,7 @@
 #include "http/internal/connectprobe.h"
 #include "http/internal/h2oheaders.h"
 #include "http/internal/idleconnections.h"
-#include "http/internal/sockettimeouts.h"
+#include "http/internal/socketoptions.h"
 
 namespace acaciasail::http {
 
@@ -101,6 +101,7 @@
         m_socket.reset(socket);
         m_socket->data = this;
         setConnectionTimeouts(h2o_socket_get_fd(socket));
+        limitReceiveBuffer(h2o_socket_get_fd(socket));
         return true;
     }
 
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -46,6 +46,9 @@
     bool endsWithConnection = false;
 };
 
+/// Largest piece of an answer's body, in bytes, that a handler gets.
+constexpr std::size_t maxPieceBytes = 256U << 10U;
+
 /// Receives an answer as it arrives. Each function may be empty.
 struct ClientHandlers
 {
--- a/src/framework/http/internal/connectprobe.cpp
+++ b/src/framework/http/internal/connectprobe.cpp
@@ -4,7 +4,7 @@
 
 #include "http/internal/address.h"
 #include "http/internal/eventloop.h"
-#include "http/internal/sockettimeouts.h"
+#include "http/internal/socketoptions.h"
 
 namespace acaciasail::http {
 
@@ -40,6 +40,7 @@
     m_socket.reset(socket);
     m_socket->data = this;
     setConnectionTimeouts(h2o_socket_get_fd(socket));
+    limitReceiveBuffer(h2o_socket_get_fd(socket));
     m_timer = kernel::Timer(m_scheduler, timeout, [this] {
         fail(kernel::ResultCode::UpstreamTimeout, "no connection within the time-out");
     });
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -15,7 +15,7 @@
 #include "http/internal/errorfilter.h"
 #include "http/internal/h2oheaders.h"
 #include "http/internal/responder.h"
-#include "http/internal/sockettimeouts.h"
+#include "http/internal/socketoptions.h"
 #include "http/internal/tls.h"
 
 namespace acaciasail::http {
--- a/src/framework/http/internal/socketoptions.cpp
+++ b/src/framework/http/internal/socketoptions.cpp
@@ -1,4 +1,4 @@
-#include "http/internal/sockettimeouts.h"
+#include "http/internal/socketoptions.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -12,6 +12,7 @@
 constexpr int keepAliveIntervalSeconds = 1;
 constexpr int keepAliveProbes = 2;
 constexpr unsigned int unacknowledgedMilliseconds = 3000;
+constexpr int receiveBufferBytes = 64 << 10;
 
 } // namespace
 
@@ -28,6 +29,11 @@
                sizeof unacknowledgedMilliseconds);
 }
 
+void limitReceiveBuffer(int fd)
+{
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
+}
+
 void resetOnClose(int fd)
 {
     const linger now{ .l_onoff = 1, .l_linger = 0 };
--- a/src/framework/http/tests/clientfaults_tests.cpp
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -34,7 +35,11 @@
             request,
             { .onSent = [&] { m_sent = true; },
               .onHead = [&](const ClientHead &head) { m_status = head.status; },
-              .onBody = [&](std::string_view piece) { m_body += piece; },
+              .onBody =
+                  [&](std::string_view piece) {
+                      m_body += piece;
+                      m_largestPiece = std::max(m_largestPiece, piece.size());
+                  },
               .onEnd
               = [&](kernel::Completion<kernel::Done> outcome) { m_end = std::move(outcome); } });
     }
@@ -54,6 +59,7 @@
     std::unique_ptr<Exchange> m_exchange;
     std::optional<kernel::Completion<kernel::Done>> m_end;
     std::string m_body;
+    std::size_t m_largestPiece = 0;
     int m_status = 0;
     kernel::Duration m_totalTimeout{};
     bool m_sent = false;
@@ -194,6 +200,29 @@
     EXPECT_TRUE(m_server.awaitReset());
 }
 
+// Guards against a process that runs out of memory because an upstream sends faster than it reads.
+TEST_F(ClientFaults, ReadsBodyInSmallPieces)
+{
+    send();
+    m_server.awaitRequest();
+    m_server.send("HTTP/1.1 200 OK\r\nx-id: 7\r\n\r\n");
+    m_loop.runUntil([&] { return m_status == 200; }, patience);
+    m_exchange->pauseReading(true);
+    // Fills all that the system buffers for the connection.
+    const std::string piece(64U << 10U, 'a');
+    constexpr std::size_t mostBuffered = 64U << 20U;
+    std::size_t sent = 0;
+    for (std::size_t taken = 1; taken > 0 && sent < mostBuffered; sent += taken) {
+        taken = m_server.send(piece);
+        m_loop.runUntil([] { return false; }, 1ms);
+    }
+    m_largestPiece = 0;
+    m_exchange->pauseReading(false);
+    ASSERT_TRUE(m_loop.runUntil([&] { return m_body.size() == sent; }, patience));
+    EXPECT_GT(sent, m_largestPiece);
+    EXPECT_LE(m_largestPiece, maxPieceBytes);
+}
+
 // Guards against interim responses without end, each of which is whole.
 TEST_F(ClientFaults, InterimResponsesWithoutEndAreNoAnswer)
 {
--- a/src/framework/http/tests/rawserver.cpp
+++ b/src/framework/http/tests/rawserver.cpp
@@ -1,5 +1,6 @@
 #include "http/tests/rawserver.h"
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 
@@ -56,9 +57,10 @@
     return received;
 }
 
-void RawServer::send(std::string_view bytes)
+std::size_t RawServer::send(std::string_view bytes)
 {
-    (void) !::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const ssize_t sent = ::send(m_connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    return static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
 }
 
 void RawServer::close()
--- a/src/framework/http/tests/rawserver.h
+++ b/src/framework/http/tests/rawserver.h
@@ -20,8 +20,8 @@
     /// Runs the loop until a connection has come and its request's head has arrived, or five
     /// seconds passed; returns what arrived.
     std::string awaitRequest();
-    /// Writes to the newest connection.
-    void send(std::string_view bytes);
+    /// Writes to the newest connection; returns how many of the bytes the system took.
+    std::size_t send(std::string_view bytes);
     /// Ends the newest connection in good order.
     void close();
     /// Resets the newest connection.
