A failure that may be retried is not passed on because its body is large

Callers got a 500 of a faulty upstream, without end, although another upstream could have answered; on a resumable route a retry's events could follow it.

Cause: a response whose body exceeds the buffer was passed on whatever its status, and so started the caller's response.

Evidence, on the code before: JobTest.EndlessErrorResponseIsRetried failed for safe and resumable requests. Such an attempt now fails when the buffer is full; one that can't be retried is passed on as before.

Events are at most 256 KiB, as much as is buffered of other responses.

--- a/src/forwarding/internal/eventsplitter.h
+++ b/src/forwarding/internal/eventsplitter.h
@@ -30,7 +30,7 @@
 {
 public:
     /// Maximum size of an event.
-    static constexpr std::size_t maxEventBytes = 1U << 20U;
+    static constexpr std::size_t maxEventBytes = 256U << 10U;
     /// Maximum size of what is ignored between two events.
     static constexpr std::size_t maxIgnoredBytes = 16U << 10U;
 
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -137,11 +137,8 @@
     if (!head.isEventStream || head.status >= firstErrorStatus) {
         m_attempt->lastActivity = now();
         m_attempt->body.append(piece);
-        if (m_attempt->body.size() > maxBufferedBodyBytes) {
-            startResponse();
-            m_responder->write(std::exchange(m_attempt->body, {}));
-            applyBackpressure();
-        }
+        if (m_attempt->body.size() > maxBufferedBodyBytes)
+            onBufferFull();
         return;
     }
     const EventSplitter::Result result
@@ -154,6 +151,20 @@
     failAttempt(AttemptFailure::InvalidResponse, detail);
 }
 
+// Passes on the part of a large response that is buffered. A failure that may be retried is not read
+// further instead.
+void Job::onBufferFull()
+{
+    if (m_attempt->head->status >= firstServerError && mayRetry(m_attempts)) {
+        review(reviewFailure);
+        failAttempt(AttemptFailure::ServerError, std::to_string(m_attempt->head->status));
+        return;
+    }
+    startResponse();
+    m_responder->write(std::exchange(m_attempt->body, {}));
+    applyBackpressure();
+}
+
 // Returns the id of the last event that the caller has, from this request or an earlier one.
 std::optional<StreamEventId> Job::lastReceivedEventId() const
 {
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -107,6 +107,7 @@
     void onBody(std::string_view piece);
     EventUse onEvent(const StreamEvent &event);
     void recordEvent();
+    void onBufferFull();
     void applyBackpressure();
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onResponseComplete();
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -468,6 +468,25 @@
     EXPECT_TRUE(send.paused) << "the caller does not read";
 }
 
+// Guards against a failure without end that the caller gets, although a retry is allowed.
+TEST(JobTest, EndlessErrorResponseIsRetried)
+{
+    const std::string piece(64U << 10U, 'x');
+    for (const char *path : { "/safe/x", "/chat/x", "/unsafe/x" }) {
+        ForwarderFixture fixture;
+        const auto caller = fixture.sendRequest(path);
+        const auto send = fixture.http.sends.back();
+        send->reportSent();
+        send->head(500, { { "proof", "p" } });
+        for (int i = 0; i < 5 && !send->cancelled; ++i)
+            send->body(piece);
+        const bool isRetried = std::string_view(path) != "/unsafe/x";
+        EXPECT_EQ(send->cancelled, isRetried) << path;
+        EXPECT_EQ(fixture.http.sends.size(), isRetried ? 2U : 1U);
+        EXPECT_EQ(caller->status, isRetried ? 0 : 500) << "an unsafe request may have run";
+    }
+}
+
 // On a busy service all requests wait, which is no reason to read their prompts again at other
 // engines.
 TEST(JobTest, InactivityOfManyRequestsRaisesLatencyEstimate)
