--- a/src/forwarding/internal/eventsplitter.cpp
+++ b/src/forwarding/internal/eventsplitter.cpp
@@ -44,8 +44,9 @@
     cursor.searchFrom = std::max(cursor.searchFrom, cursor.begin);
 }
 
-EventSplitter::Result EventSplitter::feed(std::string_view piece,
-                                          const std::function<EventUse(const StreamEvent &)> &onEvent)
+EventSplitter::Result
+EventSplitter::feed(std::string_view piece,
+                    const std::function<EventUse(const StreamEvent &)> &onEvent)
 {
     // The last two bytes before the new piece may be the start of the empty line.
     constexpr std::size_t overlap = 2;
--- a/src/forwarding/internal/eventsplitter.h
+++ b/src/forwarding/internal/eventsplitter.h
@@ -44,7 +44,8 @@
 
     /// Calls the function for each event that the piece completes. The splitter must not be changed
     /// from within the call.
-    Result feed(std::string_view piece, const std::function<EventUse(const StreamEvent &)> &onEvent);
+    Result feed(std::string_view piece,
+                const std::function<EventUse(const StreamEvent &)> &onEvent);
     /// Returns whether bytes of an incomplete event are buffered.
     bool partial() const { return !m_buffer.empty(); }
     /// Returns the number of bytes of the stream up to the end of the last complete event.
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -151,8 +151,8 @@
     failAttempt(AttemptFailure::InvalidResponse, detail);
 }
 
-// Passes on the part of a large response that is buffered. A failure that may be retried is not read
-// further instead.
+// Passes on the part of a large response that is buffered. A failure that may be retried is not
+// read further instead.
 void Job::onBufferFull()
 {
     if (m_attempt->head->status >= firstServerError && mayRetry(m_attempts)) {
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -219,12 +219,11 @@
 {
     EventSplitter splitter;
     std::vector<std::uint64_t> offsets;
-    const auto result = splitter.feed("id: 1\n\n\r\nid: 2\n\nid: 3\n\n",
-                                      [&](const StreamEvent &event) {
-                                          offsets.push_back(event.offset);
-                                          return offsets.size() == 2 ? EventUse::Rejected
-                                                                     : EventUse::Accepted;
-                                      });
+    const auto result
+        = splitter.feed("id: 1\n\n\r\nid: 2\n\nid: 3\n\n", [&](const StreamEvent &event) {
+              offsets.push_back(event.offset);
+              return offsets.size() == 2 ? EventUse::Rejected : EventUse::Accepted;
+          });
     EXPECT_EQ(result, EventSplitter::Result::Rejected);
     EXPECT_EQ(offsets, (std::vector<std::uint64_t>{ 0, 9 }));
     EXPECT_EQ(splitter.offset(), 9U);
--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-// Bytes of an answer's head, with the interim answers before it, above which it is taken as malformed.
+// Bytes of an answer's head, with the interim answers before it, above which it is taken as
+// malformed.
 constexpr std::size_t maxHeadBytes = 64U << 10U;
 // Bytes of a header besides its name and value.
 constexpr std::size_t headerSeparatorBytes = 4;
@@ -77,8 +78,8 @@
     return self->countHeadBytes(length);
 }
 
-// Counts bytes of a head, or of the trailers that follow a body and are not kept. Returns the result
-// of a parser's callback.
+// Counts bytes of a head, or of the trailers that follow a body and are not kept. Returns the
+// result of a parser's callback.
 int AnswerParser::countHeadBytes(std::size_t count)
 {
     m_headBytes += count;
@@ -90,8 +91,8 @@
     return m_parser.status_code < firstFinalStatus;
 }
 
-// An interim response has no body, so one that states a body could be read in two ways, and so could
-// a response that is framed twice. No request asks for a change of protocol.
+// An interim response has no body, so one that states a body could be read in two ways, and so
+// could a response that is framed twice. No request asks for a change of protocol.
 bool AnswerParser::isHeadValid() const
 {
     const unsigned int status = m_parser.status_code;
--- a/src/framework/http/internal/socketoptions.h
+++ b/src/framework/http/internal/socketoptions.h
@@ -6,8 +6,8 @@
 /// small pieces at once.
 void setConnectionTimeouts(int fd);
 
-/// Bounds the bytes that the system holds for a connection until they are read, and so the bytes that
-/// come with one read.
+/// Bounds the bytes that the system holds for a connection until they are read, and so the bytes
+/// that come with one read.
 void limitReceiveBuffer(int fd);
 
 /// Makes the close of a connection a reset: bytes that the peer has not got yet are dropped.
