--- a/src/app/daemon/listenersmodule.cpp
+++ b/src/app/daemon/listenersmodule.cpp
@@ -99,7 +99,7 @@
 
 void Listeners::checkDrained()
 {
-    const std::size_t left = callers->requestsInProgress();
+    const std::size_t left = callers->unsentAnswers();
     if (left > 0 && loop->scheduler().now() < drainEnd) {
         drainTimer
             = kernel::Timer(loop->scheduler(), drainCheckInterval, [this] { checkDrained(); });
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -249,7 +249,8 @@
 // arriving on it.
 void Router::continueDrain()
 {
-    if (m_forwarder.inProgress() > 0)
+    // A response counts until its last byte has left the process, as its caller may read slowly.
+    if (m_forwarder.inProgress() > 0 || m_callerServer->unsentAnswers() > 0)
         m_lastBusyAt = m_loop.scheduler().now();
     const kernel::Duration elapsed = m_loop.scheduler().now() - *m_drainStartedAt;
     if (elapsed >= m_settings.balancerDelay) {
@@ -288,6 +289,7 @@
     kernel::logEvent(
         kernel::EventId::DrainFinished,
         { { "in_progress", m_forwarder.inProgress() },
+          { "unsent_responses", m_callerServer->unsentAnswers() },
           { "connections", m_callerServer->connections() },
           { "crashes_shared", areCrashesShared() },
           { "took_ms", kernel::toMilliseconds(m_loop.scheduler().now() - *m_drainStartedAt) } });
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -54,18 +54,20 @@
     end();
 }
 
-void H2oResponder::attach()
+void H2oResponder::attach(std::shared_ptr<std::size_t> unsentAnswers)
 {
-    void *slot = h2o_mem_alloc_shared(&m_request->pool, sizeof(std::weak_ptr<H2oResponder>),
-                                      &H2oResponder::onDispose);
-    new (slot) std::weak_ptr<H2oResponder>(weak_from_this());
+    ++*unsentAnswers;
+    void *memory
+        = h2o_mem_alloc_shared(&m_request->pool, sizeof(Attachment), &H2oResponder::onDispose);
+    new (memory) Attachment{ weak_from_this(), std::move(unsentAnswers) };
 }
 
-void H2oResponder::onDispose(void *slot)
+void H2oResponder::onDispose(void *memory)
 {
-    auto *weak = static_cast<std::weak_ptr<H2oResponder> *>(slot);
-    const std::shared_ptr<H2oResponder> responder = weak->lock();
-    weak->~weak_ptr();
+    auto *attachment = static_cast<Attachment *>(memory);
+    --*attachment->unsentAnswers;
+    const std::shared_ptr<H2oResponder> responder = attachment->responder.lock();
+    attachment->~Attachment();
     if (responder)
         responder->callerGone();
 }
--- a/src/framework/http/internal/responder.h
+++ b/src/framework/http/internal/responder.h
@@ -22,8 +22,9 @@
 
     /// Calls the function once, when the answer is finished or its caller has gone.
     void setOnEnd(std::function<void()> function) { m_onEnd = std::move(function); }
-    /// Arranges to be told when h2o frees the request.
-    void attach();
+    /// Arranges to be told when h2o frees the request, which is when its last byte was sent. Until
+    /// then its answer counts in `unsentAnswers`.
+    void attach(std::shared_ptr<std::size_t> unsentAnswers);
 
     void send(int status, const Headers &headers, std::string_view body) override;
     void start(int status, const Headers &headers) override;
@@ -55,7 +56,14 @@
 
     static void onProceed(h2o_generator_t *generator, h2o_req_t *request);
     static void onStop(h2o_generator_t *generator, h2o_req_t *request);
-    static void onDispose(void *slot);
+    // Lives in the memory of h2o's request.
+    struct Attachment
+    {
+        std::weak_ptr<H2oResponder> responder;
+        std::shared_ptr<std::size_t> unsentAnswers;
+    };
+
+    static void onDispose(void *memory);
 
     void setHead(int status, const Headers &headers);
     void pump();
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -114,6 +114,8 @@
     // Requests that are not answered whole. The server keeps their responders, so that a handler
     // that drops one does not leave its request open.
     std::unordered_map<H2oResponder *, InProgress> inProgress;
+    // Shared, as h2o may free a request after the server has gone.
+    std::shared_ptr<std::size_t> unsentAnswers = std::make_shared<std::size_t>(0);
     kernel::Timer hangUpTimer;
     std::uint64_t accepted = 0;
 };
@@ -187,13 +189,13 @@
     const auto responder = std::make_shared<H2oResponder>(request);
     if (!handler) {
         // The server is ending, and nobody would answer.
-        responder->attach();
+        responder->attach(unsentAnswers);
         responder->abort();
         return 0;
     }
     H2oResponder *key = responder.get();
     responder->setOnEnd([this, key] { inProgress.erase(key); });
-    responder->attach();
+    responder->attach(unsentAnswers);
     inProgress.emplace(key, InProgress{ responder, loop.scheduler().now() });
     handler(readRequest(request), responder);
     return 0;
@@ -318,6 +320,11 @@
     return m_impl->inProgress.size();
 }
 
+std::size_t Server::unsentAnswers() const
+{
+    return *m_impl->unsentAnswers;
+}
+
 std::size_t Server::connections() const
 {
     return m_impl->connections.size();
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -84,6 +84,8 @@
     void endConnectionsAfterAnswers();
     /// Requests whose answers are not finished.
     std::size_t requestsInProgress() const;
+    /// Requests whose answers have not left the process whole, whether finished or not.
+    std::size_t unsentAnswers() const;
     std::size_t connections() const;
     /// Connections taken since the start.
     std::uint64_t connectionsAccepted() const;
--- a/src/framework/http/tests/drain_tests.cpp
+++ b/src/framework/http/tests/drain_tests.cpp
@@ -105,6 +105,39 @@
     EXPECT_NE(caller.readUntil("0\r\n\r\n").find("two"), std::string::npos);
 }
 
+// Guards against a process that exits while the end of an answer still waits for a slow caller.
+TEST(HttpDrain, AnswerIsUnsentUntilItsLastByteHasLeft)
+{
+    // More than the system holds for a connection.
+    const std::string body = std::string(8U << 20U, 'x') + "end";
+    for (const bool isWhole : { true, false }) {
+        EventLoop loop;
+        const std::unique_ptr<Server> server
+            = listen(loop, [&](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+                  if (isWhole) {
+                      responder->send(200, {}, body);
+                      return;
+                  }
+                  responder->start(200, {});
+                  responder->write(body);
+                  responder->finish();
+              });
+        ASSERT_NE(server, nullptr);
+        RawConnection caller(loop, server->endpoint());
+        caller.send(request);
+        ASSERT_TRUE(loop.runUntil([&] { return server->connections() == 1; }, 5s));
+        loop.runUntil([] { return false; }, 300ms);
+        EXPECT_EQ(server->unsentAnswers(), 1U) << "the caller has read nothing";
+        EXPECT_GE(caller.readUntil("end").size(), body.size());
+        EXPECT_TRUE(loop.runUntil([&] { return server->unsentAnswers() == 0; }, 5s));
+        RawConnection vanishing(loop, server->endpoint());
+        vanishing.send(request);
+        ASSERT_TRUE(loop.runUntil([&] { return server->unsentAnswers() == 1; }, 5s));
+        vanishing.close();
+        EXPECT_TRUE(loop.runUntil([&] { return server->unsentAnswers() == 0; }, 5s));
+    }
+}
+
 // A request that has arrived when the server begins to drain is answered, however long that takes.
 TEST(HttpDrain, ARequestThatHasArrivedIsAnswered)
 {
