--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -117,7 +117,7 @@
     RunnerPlace &runner = anyRunner();
     RunnerBehaviour &behaviour = runner.standin->behaviour();
     const auto every = static_cast<int>(1 + kernel::uniformBelow(m_random, 4));
-    switch (kernel::uniformBelow(m_random, 4)) {
+    switch (kernel::uniformBelow(m_random, 5)) {
     case 0:
         behaviour.resetEvery = every;
         break;
@@ -127,6 +127,9 @@
     case 2:
         behaviour.failEvery = every;
         break;
+    case 3:
+        behaviour.faultyEventEvery = every;
+        break;
     default:
         behaviour.work *= 20;
     }
@@ -171,6 +174,7 @@
     behaviour.resetEvery = 0;
     behaviour.refuseEvery = 0;
     behaviour.failEvery = 0;
+    behaviour.faultyEventEvery = 0;
 }
 
 void Faults::degradeRunnerPath()
