--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -118,8 +118,8 @@
          { std::string("content-length: 300\r\n\r\n") + body,
            std::string("transfer-encoding: chunked\r\n\r\n12c\r\n") + body + "\r\n0\r\n\r\n" }) {
         for (const char *status : { "100", "103", "199" }) {
-            const Parsed result
-                = parse({ "HTTP/1.1 " + std::string(status) + " x\r\n" + framing + sized });
+            std::string answers = "HTTP/1.1 " + std::string(status) + " x\r\n";
+            const Parsed result = parse({ answers.append(framing).append(sized) });
             EXPECT_EQ(result.state, AnswerParser::State::Malformed) << status;
             EXPECT_EQ(result.status, 0);
             EXPECT_EQ(result.body, "");
