--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr int firstRedirectStatus = 300;
 constexpr int firstErrorStatus = 400;
 constexpr int unavailable = 503;
 constexpr int firstServerError = 500;
@@ -87,6 +88,12 @@
                     head.isReencoded ? "unexpected content encoding" : "no proof header");
         return;
     }
+    const bool isSuccess = head.status < firstRedirectStatus;
+    if (isSuccess && !head.isEventStream && m_plan.route.kind == RequestKind::Streaming
+        && !m_attempts.responseStarted) {
+        failAttempt(AttemptFailure::InvalidResponse, "not an event stream");
+        return;
+    }
     if (m_attempts.responseStarted && (head.status >= firstErrorStatus || !head.isEventStream)) {
         // The caller has received the start of a stream, which can only be continued by more
         // events.
--- a/src/forwarding/tests/fakes.cpp
+++ b/src/forwarding/tests/fakes.cpp
@@ -64,9 +64,18 @@
     // The real client may release the handlers during a call, so the test calls copies of them.
     const http::ClientHandlers handlersCopy = handlers;
     handlersCopy.onSent();
-    handlersCopy.onHead({ status, { { "proof", "p" } } });
-    if (!cancelled && !text.empty())
-        handlersCopy.onBody(text);
+    const bool isStream
+        = status < 400
+          && (request.path.starts_with("/chat/") || request.path.starts_with("/once/"));
+    http::Headers headers{ { "proof", "p" } };
+    std::string body(text);
+    if (isStream) {
+        headers.push_back({ "events", "1" });
+        body = "id: 1\ndata: " + body + "\n\n";
+    }
+    handlersCopy.onHead({ status, headers });
+    if (!cancelled && !body.empty())
+        handlersCopy.onBody(body);
     if (!cancelled)
         handlersCopy.onEnd(kernel::Done{});
 }
--- a/src/forwarding/tests/fakes.h
+++ b/src/forwarding/tests/fakes.h
@@ -25,7 +25,8 @@
     void body(std::string_view piece) { handlers.onBody(piece); }
     void complete() { handlers.onEnd(kernel::Done{}); }
     void fail(kernel::ResultCode code) { handlers.onEnd(kernel::Error{ code, "test" }); }
-    /// Gives a complete response with the proof header.
+    /// Gives a complete response with the proof header; a success on a streaming route is a stream
+    /// of one event.
     void respond(int status, std::string_view text);
 };
 
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -304,6 +304,32 @@
     }
 }
 
+// Guards against a body that is no stream of events and so would not be checked event by event.
+TEST(JobTest, SuccessThatIsNoEventStreamIsNotForwardedOnStreamingRoute)
+{
+    for (const char *path : { "/chat/x", "/once/x" }) {
+        ForwarderFixture fixture;
+        const auto caller = fixture.sendRequest(path);
+        const auto first = fixture.http.sends.back();
+        first->reportSent();
+        first->head(200, { { "proof", "p" } });
+        EXPECT_TRUE(first->cancelled) << path;
+        if (std::string_view(path) == "/once/x") {
+            EXPECT_EQ(caller->status, 502) << "it may have run";
+            continue;
+        }
+        ASSERT_EQ(fixture.http.sends.size(), 2U);
+        fixture.http.last().respond(200, "a");
+        EXPECT_EQ(caller->body, firstEvent);
+        EXPECT_EQ(caller->status, 200);
+    }
+    ForwarderFixture fixture;
+    const auto caller = fixture.sendRequest("/once/x");
+    fixture.http.last().respond(404, "no such model");
+    EXPECT_EQ(caller->status, 404) << "a failure is no stream";
+    EXPECT_EQ(caller->body, "no such model");
+}
+
 // Guards against an event that a caller gets twice, from one upstream or from two.
 TEST(JobTest, EventThatCameBeforeIsNotForwarded)
 {
