Event streams on routes that are not streaming are passed on unchanged

Cause: the check hung on the response's content type alone. Increasing ids are a promise of streaming routes; the body of any other response is passed on as it is.

Found on reading; no site has such a route. The condition stands in one place now (isCheckedStream), which the end of a response asks as well.

--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/job.cpp
@@ -140,12 +140,14 @@
 void Job::onBody(std::string_view piece)
 {
     const auto self = shared_from_this();
-    const ResponseHead &head = *m_attempt->head;
-    if (!head.isEventStream || head.status >= firstErrorStatus) {
+    if (!isCheckedStream()) {
+        const ResponseHead &head = *m_attempt->head;
         m_attempt->lastActivity = now();
         m_attempt->body.append(piece);
-        if (m_attempt->body.size() > maxBufferedBodyBytes)
-            onBufferFull();
+        // An event stream on another kind of route is passed on unchanged, as it comes.
+        const bool isStream = head.isEventStream && head.status < firstErrorStatus;
+        if (isStream || m_attempt->body.size() > maxBufferedBodyBytes)
+            passOnBuffer();
         return;
     }
     const EventSplitter::Result result
@@ -158,9 +160,16 @@
     failAttempt(AttemptFailure::InvalidResponse, detail);
 }
 
-// Passes on the part of a large response that is buffered. A failure that may be retried is not
-// read further instead.
-void Job::onBufferFull()
+bool Job::isCheckedStream() const
+{
+    const ResponseHead &head = *m_attempt->head;
+    return m_plan.route.kind == RequestKind::Streaming && head.isEventStream
+           && head.status < firstErrorStatus;
+}
+
+// Passes on the part of a response that is buffered. A failure that may be retried is not read
+// further instead.
+void Job::passOnBuffer()
 {
     if (m_attempt->head->status >= firstServerError && mayRetry(m_attempts)) {
         review(reviewFailure);
@@ -283,11 +292,11 @@
         deliverResponse();
         return;
     }
-    if (head.isEventStream && m_splitter.partial()) {
+    if (isCheckedStream() && m_splitter.partial()) {
         failAttempt(AttemptFailure::Lost, "stream ended within an event");
         return;
     }
-    if (head.isEventStream && m_attempt->endsWithConnection && !m_lastEventId) {
+    if (isCheckedStream() && m_attempt->endsWithConnection && !m_lastEventId) {
         failAttempt(AttemptFailure::Lost, "stream ended without an event");
         return;
     }
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/job.h
@@ -107,7 +107,9 @@
     void onBody(std::string_view piece);
     EventUse onEvent(const StreamEvent &event);
     void recordEvent();
-    void onBufferFull();
+    // Returns whether the response is a stream whose events are checked one by one.
+    bool isCheckedStream() const;
+    void passOnBuffer();
     void applyBackpressure();
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onResponseComplete();
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -330,6 +330,30 @@
     EXPECT_EQ(caller->body, "no such model");
 }
 
+// Guards against checks of a stream's events on a route whose responses are passed on unchanged.
+TEST(JobTest, EventStreamOnOtherRouteIsPassedOnUnchangedAsItComes)
+{
+    for (const char *path : { "/safe/x", "/unsafe/x" }) {
+        ForwarderFixture fixture;
+        const auto caller = fixture.sendRequest(path);
+        const auto send = fixture.http.sends.back();
+        send->reportSent();
+        send->head(200, events);
+        std::string sent;
+        for (const char *piece :
+             { "data: a\n\n", "\n: ping\n\n", "id: 3\ndata: b\n\n", "id: 1\n\n" }) {
+            send->body(piece);
+            sent += piece;
+            EXPECT_EQ(caller->status, 200) << path;
+            EXPECT_EQ(caller->body, sent);
+        }
+        EXPECT_FALSE(send->cancelled);
+        send->complete();
+        EXPECT_EQ(caller->body, sent);
+        EXPECT_TRUE(caller->ended && !caller->aborted);
+    }
+}
+
 // Guards against an event that a caller gets twice, from one upstream or from two.
 TEST(JobTest, EventThatCameBeforeIsNotForwarded)
 {
