Forwarding: folders by job, no change of behaviour

Change: request/ (a request's steps), placement/ (upstream and model), limits/ (rate limits, notices, retry budget), crashes/ (evidence on crashing requests), rollouts/. Files move whole; includes follow. Result: forwarding_tests, router_tests and the router build; nothing else changes.

--- a/src/forwarding/internal/crashevidence.cpp
+++ b/src/forwarding/internal/crashes/crashevidence.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/crashevidence.h"
+#include "forwarding/internal/crashes/crashevidence.h"
 
 #include <algorithm>
 #include <set>
--- a/src/forwarding/internal/crashevidence.h
+++ b/src/forwarding/internal/crashes/crashevidence.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <vector>
 
-#include "forwarding/internal/partcrashes.h"
+#include "forwarding/internal/crashes/partcrashes.h"
 #include "forwarding/internal/types.h"
 #include "poison/poison.h"
 
--- a/src/forwarding/internal/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/partcrashes.h"
+#include "forwarding/internal/crashes/partcrashes.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/forwarding/internal/partcrashes.h
+++ b/src/forwarding/internal/crashes/partcrashes.h
@@ -5,7 +5,7 @@
 #include <set>
 #include <vector>
 
-#include "forwarding/internal/partevidence.h"
+#include "forwarding/internal/crashes/partevidence.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/partevidence.cpp
+++ b/src/forwarding/internal/crashes/partevidence.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/partevidence.h"
+#include "forwarding/internal/crashes/partevidence.h"
 
 #include <algorithm>
 #include <tuple>
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "forwarding/internal/requestlimits.h"
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/limits/requestlimits.h"
+#include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -4,7 +4,7 @@
 #include <memory>
 #include <unordered_map>
 
-#include "forwarding/internal/job.h"
+#include "forwarding/internal/request/job.h"
 #include "forwarding/internal/state.h"
 
 namespace acaciasail::forwarding {
--- a/src/forwarding/internal/limitsharing.cpp
+++ b/src/forwarding/internal/limits/limitsharing.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/limitsharing.h"
+#include "forwarding/internal/limits/limitsharing.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/forwarding/internal/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/requestlimits.h"
+#include "forwarding/internal/limits/requestlimits.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/retrybudget.cpp
+++ b/src/forwarding/internal/limits/retrybudget.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/retrybudget.h"
+#include "forwarding/internal/limits/retrybudget.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/upstreamlimit.cpp
+++ b/src/forwarding/internal/limits/upstreamlimit.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/upstreamlimit.h"
+#include "forwarding/internal/limits/upstreamlimit.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/upstreamnotices.cpp
+++ b/src/forwarding/internal/limits/upstreamnotices.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/upstreamnotices.h"
+#include "forwarding/internal/limits/upstreamnotices.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/upstreamnotices.h
+++ b/src/forwarding/internal/limits/upstreamnotices.h
@@ -2,7 +2,7 @@
 
 #include <optional>
 
-#include "forwarding/internal/upstreamlimit.h"
+#include "forwarding/internal/limits/upstreamlimit.h"
 #include "kernel/kernel.h"
 
 namespace acaciasail::forwarding {
--- a/src/forwarding/internal/engineload.cpp
+++ b/src/forwarding/internal/placement/engineload.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/engineload.h"
+#include "forwarding/internal/placement/engineload.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/lanes.cpp
+++ b/src/forwarding/internal/placement/lanes.cpp
@@ -1,8 +1,8 @@
-#include "forwarding/internal/lanes.h"
+#include "forwarding/internal/placement/lanes.h"
 
 #include <algorithm>
 
-#include "forwarding/internal/routematch.h"
+#include "forwarding/internal/request/routematch.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/modelchoice.cpp
+++ b/src/forwarding/internal/placement/modelchoice.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/modelchoice.h"
+#include "forwarding/internal/placement/modelchoice.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/forwarding/internal/upstreamchoice.cpp
+++ b/src/forwarding/internal/placement/upstreamchoice.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/upstreamchoice.h"
+#include "forwarding/internal/placement/upstreamchoice.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/forwarding/internal/upstreamchoice.h
+++ b/src/forwarding/internal/placement/upstreamchoice.h
@@ -6,9 +6,9 @@
 #include <string_view>
 #include <vector>
 
-#include "forwarding/internal/lanes.h"
+#include "forwarding/internal/limits/upstreamnotices.h"
+#include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/types.h"
-#include "forwarding/internal/upstreamnotices.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/attemptstate.cpp
+++ b/src/forwarding/internal/request/attemptstate.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/attemptstate.h"
+#include "forwarding/internal/request/attemptstate.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/eventsplitter.cpp
+++ b/src/forwarding/internal/request/eventsplitter.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/eventsplitter.h"
+#include "forwarding/internal/request/eventsplitter.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/inactivitytimeout.cpp
+++ b/src/forwarding/internal/request/inactivitytimeout.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/inactivitytimeout.h"
+#include "forwarding/internal/request/inactivitytimeout.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/forwarding/internal/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -1,11 +1,11 @@
-#include "forwarding/internal/job.h"
+#include "forwarding/internal/request/job.h"
 
 #include <algorithm>
 #include <cmath>
 #include <utility>
 
-#include "forwarding/internal/requestlimits.h"
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/limits/requestlimits.h"
+#include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -5,10 +5,10 @@
 #include <set>
 #include <string>
 
-#include "forwarding/internal/attemptstate.h"
-#include "forwarding/internal/eventsplitter.h"
-#include "forwarding/internal/requestplan.h"
-#include "forwarding/internal/responsereview.h"
+#include "forwarding/internal/request/attemptstate.h"
+#include "forwarding/internal/request/eventsplitter.h"
+#include "forwarding/internal/request/requestplan.h"
+#include "forwarding/internal/rollouts/responsereview.h"
 #include "forwarding/internal/state.h"
 
 namespace acaciasail::forwarding {
--- a/src/forwarding/internal/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -1,9 +1,9 @@
-#include "forwarding/internal/job.h"
+#include "forwarding/internal/request/job.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/jobnotices.cpp
+++ b/src/forwarding/internal/request/jobnotices.cpp
@@ -1,7 +1,7 @@
-#include "forwarding/internal/job.h"
+#include "forwarding/internal/request/job.h"
 
-#include "forwarding/internal/requestlimits.h"
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/limits/requestlimits.h"
+#include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/jobwaiting.cpp
+++ b/src/forwarding/internal/request/jobwaiting.cpp
@@ -1,8 +1,8 @@
-#include "forwarding/internal/job.h"
+#include "forwarding/internal/request/job.h"
 
 #include <utility>
 
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/requestplan.cpp
+++ b/src/forwarding/internal/request/requestplan.cpp
@@ -1,11 +1,11 @@
-#include "forwarding/internal/requestplan.h"
+#include "forwarding/internal/request/requestplan.h"
 
 #include <algorithm>
 #include <cctype>
 
-#include "forwarding/internal/attemptstate.h"
-#include "forwarding/internal/requestreport.h"
-#include "forwarding/internal/routematch.h"
+#include "forwarding/internal/request/attemptstate.h"
+#include "forwarding/internal/request/requestreport.h"
+#include "forwarding/internal/request/routematch.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/requestreport.cpp
+++ b/src/forwarding/internal/request/requestreport.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/requestreport.h"
+#include "forwarding/internal/request/requestreport.h"
 
 #include <algorithm>
 
--- a/src/forwarding/internal/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -3,7 +3,7 @@
 #include <string>
 #include <string_view>
 
-#include "forwarding/internal/requestplan.h"
+#include "forwarding/internal/request/requestplan.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/routematch.cpp
+++ b/src/forwarding/internal/request/routematch.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/routematch.h"
+#include "forwarding/internal/request/routematch.h"
 
 #include <algorithm>
 #include <cctype>
--- a/src/forwarding/internal/streamevent.cpp
+++ b/src/forwarding/internal/request/streamevent.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/streamevent.h"
+#include "forwarding/internal/request/streamevent.h"
 
 #include <algorithm>
 #include <array>
--- a/src/forwarding/internal/responsereview.cpp
+++ b/src/forwarding/internal/rollouts/responsereview.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/responsereview.h"
+#include "forwarding/internal/rollouts/responsereview.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/responsereview.h
+++ b/src/forwarding/internal/rollouts/responsereview.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "forwarding/internal/rolloutplan.h"
+#include "forwarding/internal/rollouts/rolloutplan.h"
 
 namespace acaciasail::forwarding {
 
--- a/src/forwarding/internal/rolloutplan.cpp
+++ b/src/forwarding/internal/rollouts/rolloutplan.cpp
@@ -1,4 +1,4 @@
-#include "forwarding/internal/rolloutplan.h"
+#include "forwarding/internal/rollouts/rolloutplan.h"
 
 #include <algorithm>
 #include <array>
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -5,16 +5,16 @@
 #include <set>
 #include <utility>
 
-#include "forwarding/internal/crashevidence.h"
+#include "forwarding/internal/crashes/crashevidence.h"
 #include "forwarding/internal/directory.h"
-#include "forwarding/internal/engineload.h"
-#include "forwarding/internal/inactivitytimeout.h"
-#include "forwarding/internal/lanes.h"
-#include "forwarding/internal/limitsharing.h"
-#include "forwarding/internal/modelchoice.h"
-#include "forwarding/internal/retrybudget.h"
-#include "forwarding/internal/rolloutplan.h"
-#include "forwarding/internal/upstreamchoice.h"
+#include "forwarding/internal/limits/limitsharing.h"
+#include "forwarding/internal/limits/retrybudget.h"
+#include "forwarding/internal/placement/engineload.h"
+#include "forwarding/internal/placement/lanes.h"
+#include "forwarding/internal/placement/modelchoice.h"
+#include "forwarding/internal/placement/upstreamchoice.h"
+#include "forwarding/internal/request/inactivitytimeout.h"
+#include "forwarding/internal/rollouts/rolloutplan.h"
 #include "metrics/metrics.h"
 
 namespace acaciasail::forwarding {
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "forwarding/internal/streamevent.h"
+#include "forwarding/internal/request/streamevent.h"
 #include "http/http.h"
 #include "kernel/kernel.h"
 
