Evacuated data centres and cold upstreams

The router knew neither evacuations nor cold upstreams. Change: where the settings say so, the router watches the store's evacuations and leaves the upstreams of such a data centre out; it serves nothing before it knows them. An upstream is cold by its registration, after it was unreachable for long enough to have restarted, and when its data centre is taken back; a cold one gets its share of the service's rate by the pace that keeps rate limits. Logs EvacuationChanged and UpstreamCold; gauges of both.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -150,6 +150,15 @@
                        return static_cast<double>(
                            forwarding::countLimitedUpstreams(m_forwarder.state()));
                    });
+    registry.gauge("acaciasail_cold_upstreams",
+                   "Upstreams that may be cold, to which the router sends few requests", [this] {
+                       return static_cast<double>(
+                           forwarding::countColdUpstreams(m_forwarder.state()));
+                   });
+    registry.gauge("acaciasail_evacuated_data_centres",
+                   "Data centres whose upstreams get no requests by the operators' order", [this] {
+                       return static_cast<double>(m_forwarder.state().directory.evacuated.size());
+                   });
     registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
                    [this] { return static_cast<double>(m_adapter.storeCalls()); });
     registry.gauge("acaciasail_store_age_seconds",
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -34,6 +34,7 @@
     options.dataCentre = kernel::DataCentreId(reader.requiredText("router.data_centre"));
     options.connectTimeout = reader.milliseconds(
         "upstreams.connect_timeout_ms", options.connectTimeout, { 10, millisecondsPerMinute });
+    options.followsEvacuations = reader.flag("evacuations.follow", options.followsEvacuations);
     options.retries.ratio
         = readNumber(reader, "retries.ratio", options.retries.ratio, maxRetriesPerRequest);
     // Upper bound of the retries allowed in a window in addition to the ratio.
--- a/src/forwarding/internal/directory.cpp
+++ b/src/forwarding/internal/directory.cpp
@@ -1,7 +1,8 @@
 #include "forwarding/internal/directory.h"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
+#include <utility>
 
 namespace acaciasail::forwarding {
 
@@ -145,6 +146,16 @@
     directory.rollouts.erase(service);
 }
 
+std::set<kernel::DataCentreId> replaceEvacuated(Directory &directory,
+                                                std::set<kernel::DataCentreId> evacuated)
+{
+    std::set<kernel::DataCentreId> ended;
+    std::ranges::set_difference(directory.evacuated, evacuated, std::inserter(ended, ended.end()));
+    directory.evacuated = std::move(evacuated);
+    directory.evacuationsKnown = true;
+    return ended;
+}
+
 bool markStoreUnreachable(Directory &directory)
 {
     return !std::exchange(directory.storeUnreachable, true);
@@ -165,7 +176,8 @@
 
 bool canServe(const Directory &directory)
 {
-    return directory.configuration != nullptr && directory.upstreamsKnown;
+    return directory.configuration != nullptr && directory.upstreamsKnown
+           && directory.evacuationsKnown;
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/directory.h
+++ b/src/forwarding/internal/directory.h
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "forwarding/internal/types.h"
@@ -27,6 +28,10 @@
     bool upstreamsKnown = false;
     std::map<kernel::UpstreamId, KnownUpstream> upstreams;
     std::map<kernel::ServiceName, Rollout> rollouts;
+    /// Data centres whose upstreams get no requests, by the operators' order.
+    std::set<kernel::DataCentreId> evacuated;
+    /// Whether the evacuations are known; a router that follows none has nothing to learn.
+    bool evacuationsKnown = true;
     /// The store of configuration, registrations and roll-outs is unreachable, so this router
     /// does not learn of their changes.
     bool storeUnreachable = false;
@@ -81,13 +86,18 @@
 DirectoryChange putRollout(Directory &directory, const Rollout &rollout);
 void removeRollout(Directory &directory, const kernel::ServiceName &service);
 
+/// Replaces the evacuated data centres by a complete list. Returns those that were evacuated before
+/// and no longer are.
+std::set<kernel::DataCentreId> replaceEvacuated(Directory &directory,
+                                                std::set<kernel::DataCentreId> evacuated);
+
 /// Marks the store as unreachable; returns true if it was reachable before.
 bool markStoreUnreachable(Directory &directory);
 /// Marks the store as reachable; returns true if it was unreachable before.
 bool markStoreReachable(Directory &directory, kernel::Instant now);
 
-/// Returns whether requests can be served, that is, whether a configuration and the upstreams are
-/// known.
+/// Returns whether requests can be served, that is, whether a configuration, the upstreams and the
+/// evacuations are known.
 bool canServe(const Directory &directory);
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/forwarder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "forwarding/internal/limits/requestlimits.h"
@@ -43,6 +44,12 @@
                        { "workspaces", directory.configuration->workspaces.size() } });
 }
 
+void logEvacuation(const kernel::DataCentreId &dataCentre, bool evacuated)
+{
+    kernel::logEvent(kernel::EventId::EvacuationChanged,
+                     { { "data_centre", dataCentre }, { "evacuated", evacuated } });
+}
+
 void logUpstream(const kernel::UpstreamId &id, DirectoryChange change, const Upstream *upstream)
 {
     kernel::logEvent(kernel::EventId::UpstreamRegistration,
@@ -72,6 +79,7 @@
 {
     m_state.limitSharing
         = makeLimitSharing(m_state.options.vm, m_state.random(), m_publishLimitReport != nullptr);
+    m_state.directory.evacuationsKnown = !m_state.options.followsEvacuations;
     armTick();
 }
 
@@ -133,8 +141,10 @@
 {
     const auto [at, added] = m_state.records.try_emplace(upstream.id);
     UpstreamRecord &record = at->second;
-    if (record.startedAtMs == upstream.startedAtMs)
+    if (record.startedAtMs == upstream.startedAtMs) {
+        recordRegisteredCold(m_state, upstream);
         return;
+    }
     if (!added) {
         // The requests that ran at the previous process were lost with it.
         recordUpstreamGone(m_state.crashes, upstream.id, m_state.scheduler.now());
@@ -142,6 +152,7 @@
     }
     record = {};
     record.startedAtMs = upstream.startedAtMs;
+    recordRegisteredCold(m_state, upstream);
 }
 
 void Forwarder::dropUpstream(const kernel::UpstreamId &id)
@@ -177,6 +188,36 @@
                      { { "service", service }, { "state", "removed" } });
 }
 
+void Forwarder::setEvacuated(std::set<kernel::DataCentreId> dataCentres)
+{
+    if (m_state.directory.evacuationsKnown && dataCentres == m_state.directory.evacuated)
+        return;
+    std::set<kernel::DataCentreId> started;
+    std::ranges::set_difference(dataCentres, m_state.directory.evacuated,
+                                std::inserter(started, started.end()));
+    const auto ended = replaceEvacuated(m_state.directory, std::move(dataCentres));
+    for (const kernel::DataCentreId &dataCentre : started)
+        logEvacuation(dataCentre, true);
+    for (const kernel::DataCentreId &dataCentre : ended) {
+        logEvacuation(dataCentre, false);
+        recordColdDataCentre(m_state, dataCentre);
+    }
+}
+
+void Forwarder::startEvacuation(const kernel::DataCentreId &dataCentre)
+{
+    std::set<kernel::DataCentreId> evacuated = m_state.directory.evacuated;
+    evacuated.insert(dataCentre);
+    setEvacuated(std::move(evacuated));
+}
+
+void Forwarder::endEvacuation(const kernel::DataCentreId &dataCentre)
+{
+    std::set<kernel::DataCentreId> evacuated = m_state.directory.evacuated;
+    evacuated.erase(dataCentre);
+    setEvacuated(std::move(evacuated));
+}
+
 void Forwarder::setStoreReachable(bool reachable)
 {
     if (reachable && markStoreReachable(m_state.directory, m_state.scheduler.now()))
@@ -417,6 +458,9 @@
     const auto record = m_state.records.find(id);
     if (record == m_state.records.end() || !record->second.unreachable)
         return;
+    const auto known = m_state.directory.upstreams.find(id);
+    if (known != m_state.directory.upstreams.end())
+        recordColdReturn(m_state, known->second.entry);
     markReachable(record->second, m_state.scheduler.now());
     kernel::logEvent(kernel::EventId::UpstreamReturned, { { "upstream", id } });
 }
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <unordered_map>
 
 #include "forwarding/internal/request/job.h"
@@ -62,6 +63,10 @@
     void dropUpstream(const kernel::UpstreamId &id);
     void setRollout(const Rollout &rollout);
     void dropRollout(const kernel::ServiceName &service);
+    /// Replaces the evacuated data centres by a complete list; their upstreams get no new requests.
+    void setEvacuated(std::set<kernel::DataCentreId> dataCentres);
+    void startEvacuation(const kernel::DataCentreId &dataCentre);
+    void endEvacuation(const kernel::DataCentreId &dataCentre);
     void setStoreReachable(bool reachable);
     /// Merges another router's evidence on poison requests and prompt parts.
     void mergeCrashEvidence(const kernel::VmId &from, const CrashReport &received);
--- a/src/forwarding/internal/limits/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -9,6 +9,11 @@
 // Upper bound of the time that a refused caller is told to wait because of rate limits. Some of the
 // callers that were told to come back do not, so later times would be too pessimistic.
 constexpr kernel::Duration maxRetryTime = std::chrono::seconds(10);
+// An upstream that was unreachable for a shorter time can't have restarted.
+constexpr kernel::Duration minRestartTime = std::chrono::milliseconds(500);
+// The routers take leases for the limit of a cold upstream only if it stays cold for longer than it
+// takes them to get the leases.
+constexpr kernel::Duration minColdTimeForLeases = std::chrono::seconds(10);
 
 void logPace(const ForwardingState &state, const kernel::UpstreamId &upstream, double limit,
              double pace)
@@ -24,17 +29,52 @@
 
 bool isAnyLimitKnown(const ForwardingState &state)
 {
-    return std::ranges::any_of(state.records, [](const auto &item) {
-        return item.second.notices.limit || item.second.notices.pace;
+    const kernel::Instant now = state.scheduler.now();
+    return std::ranges::any_of(state.records, [now](const auto &item) {
+        const UpstreamNotices &notices = item.second.notices;
+        return notices.limit || notices.pace || isCold(notices, now);
     });
 }
 
-// Returns the limit that applies to an upstream: the one named to this router, or the reported one.
-std::optional<double> limitInForce(const UpstreamNotices &notices, std::optional<double> reported)
+const Service *findService(const ForwardingState &state, const kernel::ServiceName &name)
 {
-    if (notices.limit)
-        return notices.limit->perSecond;
-    return reported;
+    const Configuration *configuration = state.directory.configuration.get();
+    if (configuration == nullptr)
+        return nullptr;
+    const auto found = configuration->services.find(name);
+    return found == configuration->services.end() ? nullptr : &found->second;
+}
+
+// Returns the number of requests per second that the upstream bears because it is cold; nothing if
+// that does not limit it.
+std::optional<double> coldLimit(const ForwardingState &state, const Upstream &upstream,
+                                const UpstreamNotices &notices)
+{
+    if (!isCold(notices, state.scheduler.now()))
+        return std::nullopt;
+    const Service *service = findService(state, upstream.service);
+    if (service == nullptr || service->coldPerSecond <= 0)
+        return std::nullopt;
+    return service->coldPerSecond;
+}
+
+// Returns the limit that applies to an upstream: the one named to this router or the reported one,
+// and that of a cold upstream.
+std::optional<double> limitInForce(const UpstreamNotices &notices, std::optional<double> reported,
+                                   std::optional<double> cold)
+{
+    const std::optional<double> named
+        = notices.limit ? std::optional(notices.limit->perSecond) : reported;
+    if (named && cold)
+        return std::min(*named, *cold);
+    return named ? named : cold;
+}
+
+std::optional<double> reportedLimit(const ForwardingState &state, const Upstream &upstream)
+{
+    const auto reported = reportedLimits(state.limitSharing);
+    const auto found = reported.find(processIdOf(upstream));
+    return found == reported.end() ? std::nullopt : std::optional(found->second);
 }
 
 // Returns the number of requests per second that limited upstreams of a service accept from each
@@ -66,13 +106,59 @@
     return limits;
 }
 
+void recordColdUpstream(ForwardingState &state, const Upstream &upstream, kernel::Duration time)
+{
+    const Service *service = findService(state, upstream.service);
+    if (service == nullptr || service->coldPerSecond <= 0 || time <= kernel::Duration::zero())
+        return;
+    UpstreamRecord &record = state.records[upstream.id];
+    const bool wasCold = isCold(record.notices, state.scheduler.now());
+    recordCold(record.notices, state.scheduler.now() + time);
+    applyLimit(state, upstream, reportedLimit(state, upstream));
+    if (wasCold)
+        return;
+    kernel::logEvent(kernel::EventId::UpstreamCold, { { "upstream", upstream.id },
+                                                      { "data_centre", upstream.dataCentre },
+                                                      { "cold_ms", kernel::toMilliseconds(time) },
+                                                      { "per_second", service->coldPerSecond } });
+}
+
+void recordRegisteredCold(ForwardingState &state, const Upstream &upstream)
+{
+    kernel::Duration &applied = state.records[upstream.id].appliedColdTime;
+    if (applied == upstream.coldFor)
+        return;
+    applied = upstream.coldFor;
+    recordColdUpstream(state, upstream, upstream.coldFor);
+}
+
+void recordColdReturn(ForwardingState &state, const Upstream &upstream)
+{
+    const auto record = state.records.find(upstream.id);
+    const Service *service = findService(state, upstream.service);
+    if (record == state.records.end() || service == nullptr
+        || state.scheduler.now() - record->second.unreachableSince < minRestartTime)
+        return;
+    recordColdUpstream(state, upstream, service->coldTime);
+}
+
+void recordColdDataCentre(ForwardingState &state, const kernel::DataCentreId &dataCentre)
+{
+    for (const auto &[id, known] : state.directory.upstreams) {
+        const Service *service = findService(state, known.entry.service);
+        if (known.entry.dataCentre == dataCentre && service != nullptr)
+            recordColdUpstream(state, known.entry, service->coldTime);
+    }
+}
+
 void applyLimit(ForwardingState &state, const Upstream &upstream, std::optional<double> reported)
 {
     const auto found = state.records.find(upstream.id);
     if (found == state.records.end())
         return;
     UpstreamNotices &notices = found->second.notices;
-    const std::optional<double> limit = limitInForce(notices, reported);
+    const std::optional<double> cold = coldLimit(state, upstream, notices);
+    const std::optional<double> limit = limitInForce(notices, reported, cold);
     if (!limit) {
         if (notices.pace)
             logPace(state, upstream.id, 0, 0);
@@ -84,7 +170,8 @@
     if (setPace(notices.pace, share, now, state.random))
         logPace(state, upstream.id, *limit, share);
     notices.pace->limit = *limit;
-    state.limitSharing.limitInForce = true;
+    if (!cold || notices.limit || reported || notices.coldUntil - now > minColdTimeForLeases)
+        state.limitSharing.limitInForce = true;
 }
 
 void applyLimits(ForwardingState &state)
@@ -100,6 +187,13 @@
     }
 }
 
+std::size_t countColdUpstreams(const ForwardingState &state)
+{
+    const kernel::Instant now = state.scheduler.now();
+    return static_cast<std::size_t>(std::ranges::count_if(
+        state.records, [now](const auto &item) { return isCold(item.second.notices, now); }));
+}
+
 std::size_t countLimitedUpstreams(const ForwardingState &state)
 {
     return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/forwarding/internal/limits/requestlimits.h
+++ b/src/forwarding/internal/limits/requestlimits.h
@@ -12,8 +12,20 @@
 /// by upstream process.
 std::map<kernel::UpstreamId, double> namedLimits(const ForwardingState &state);
 
+/// Records that the upstream's process may be cold for this time from now. Has no effect if the
+/// service's cold upstreams bear as many requests as warm ones.
+void recordColdUpstream(ForwardingState &state, const Upstream &upstream, kernel::Duration time);
+/// Records what a registration says about whether the upstream's process is cold.
+void recordRegisteredCold(ForwardingState &state, const Upstream &upstream);
+/// Records that the upstream, which was unreachable, can be reached again. If it was away for long
+/// enough to have restarted, it counts as cold until its registration shows more.
+void recordColdReturn(ForwardingState &state, const Upstream &upstream);
+/// Records that a data centre is no longer evacuated; its upstreams may have turned cold meanwhile.
+void recordColdDataCentre(ForwardingState &state, const kernel::DataCentreId &dataCentre);
+
 /// Sets the pace of this router's requests to an upstream according to the limit that the upstream
-/// named to this router or, if it named none, the one that other routers report.
+/// named to this router or, if it named none, the one that other routers report. While the upstream
+/// is cold, its service's limit for cold upstreams holds as well.
 void applyLimit(ForwardingState &state, const Upstream &upstream, std::optional<double> reported);
 
 /// Applies the limits of all upstreams.
@@ -21,6 +33,8 @@
 
 /// Returns the number of upstreams to which this router sends at a limited rate.
 std::size_t countLimitedUpstreams(const ForwardingState &state);
+/// Returns the number of upstreams that may be cold.
+std::size_t countColdUpstreams(const ForwardingState &state);
 
 /// Ends the limits that these upstream processes named to this router: they named none to another
 /// router since.
--- a/src/forwarding/internal/limits/upstreamnotices.cpp
+++ b/src/forwarding/internal/limits/upstreamnotices.cpp
@@ -48,10 +48,20 @@
     notices.cooldownUntil = std::max(notices.cooldownUntil, until);
 }
 
+void recordCold(UpstreamNotices &notices, kernel::Instant until)
+{
+    notices.coldUntil = std::max(notices.coldUntil, until);
+}
+
+bool isCold(const UpstreamNotices &notices, kernel::Instant now)
+{
+    return now < notices.coldUntil;
+}
+
 LimitChange recordLimit(UpstreamNotices &notices, std::optional<double> perSecond,
                         kernel::Instant sentAt, kernel::Instant now)
 {
-    const bool onlyReported = !notices.limit && notices.pace;
+    const bool onlyReported = !notices.limit && notices.pace && !isCold(notices, now);
     if (!perSecond && onlyReported)
         return sentAt > notices.pace->since ? LimitChange::Ended : LimitChange::None;
     return recordLimit(notices.limit, perSecond, sentAt, now);
@@ -59,7 +69,7 @@
 
 bool hasActiveNotices(const UpstreamNotices &notices, kernel::Instant now)
 {
-    return now < notices.cooldownUntil
+    return now < notices.cooldownUntil || isCold(notices, now)
            || (notices.leavingSince && now - *notices.leavingSince < maxNoticeAge)
            || (notices.limit && now - notices.limit->namedAt < maxNoticeAge);
 }
--- a/src/forwarding/internal/limits/upstreamnotices.h
+++ b/src/forwarding/internal/limits/upstreamnotices.h
@@ -7,8 +7,9 @@
 
 namespace acaciasail::forwarding {
 
-/// Notices that an upstream gave in its responses. This router follows them even if the
-/// upstream's registration does not show them; they become void when the upstream's process ends.
+/// What limits the requests to an upstream: notices in its responses, which this router follows
+/// even if the upstream's registration does not show them, and whether its process is cold. Void
+/// when the process ends.
 struct UpstreamNotices
 {
     /// Time at which the upstream first announced that it is shutting down.
@@ -18,7 +19,10 @@
     /// End of the cooldown that the upstream asked for.
     kernel::Instant cooldownUntil{};
     std::optional<UpstreamLimit> limit;
-    /// Set while a limit is in force, which the upstream named to this router or to another one.
+    /// Until this time the upstream may be cold and then bears few requests per second.
+    kernel::Instant coldUntil{};
+    /// Set while a limit is in force: one that the upstream named to this router or to another one,
+    /// or that of a cold upstream.
     std::optional<RequestPace> pace;
 };
 
@@ -41,6 +45,10 @@
 void recordCooldown(UpstreamNotices &notices, kernel::Instant now, kernel::Duration requested,
                     kernel::Random &random);
 
+/// Records that the upstream may be cold until this time.
+void recordCold(UpstreamNotices &notices, kernel::Instant until);
+bool isCold(const UpstreamNotices &notices, kernel::Instant now);
+
 /// Records the limit that the upstream's response to a request that was sent at `sentAt` names, in
 /// requests per second; a response without a limit also ends one that only other routers reported.
 LimitChange recordLimit(UpstreamNotices &notices, std::optional<double> perSecond,
--- a/src/forwarding/internal/placement/upstreamchoice.cpp
+++ b/src/forwarding/internal/placement/upstreamchoice.cpp
@@ -282,6 +282,7 @@
         return false;
     if (broken) {
         record.unreachable = true;
+        record.unreachableSince = now;
         record.probeAt = now + firstProbeDelay;
     } else {
         const int doublings = std::min(record.ejections, maxAvoidanceDoublings);
@@ -300,6 +301,7 @@
     recordFailedProbe(record, now);
     if (std::exchange(record.unreachable, true))
         return false;
+    record.unreachableSince = now;
     ++record.ejections;
     return true;
 }
--- a/src/forwarding/internal/placement/upstreamchoice.h
+++ b/src/forwarding/internal/placement/upstreamchoice.h
@@ -30,11 +30,16 @@
     /// A connection failed or broke. Probes tell when the upstream can be reached again.
     bool unreachable = false;
     kernel::Instant probeAt{};
+    /// Time since which the upstream has been unreachable, if it is.
+    kernel::Instant unreachableSince{};
     /// Number of consecutive failed probes.
     int failedProbes = 0;
     /// Until this time the upstream gets requests only if no other upstream can take them.
     kernel::Instant avoidUntil{};
     UpstreamNotices notices;
+    /// Value of Upstream::coldFor that was applied last; a registration that is read again must not
+    /// start that time anew.
+    kernel::Duration appliedColdTime{};
     /// Start time of the upstream process that this record is about.
     std::int64_t startedAtMs = 0;
 };
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -76,7 +76,8 @@
     const auto rollout = directory.rollouts.find(service);
     std::vector<const Upstream *> result;
     for (const auto &[id, known] : directory.upstreams) {
-        if (known.entry.service != service || known.entry.draining)
+        if (known.entry.service != service || known.entry.draining
+            || directory.evacuated.contains(known.entry.dataCentre))
             continue;
         if (rollout != directory.rollouts.end() && version != VersionChoice::Any) {
             const bool hasTargetVersion = known.entry.version == rollout->second.target;
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -45,6 +45,9 @@
     kernel::Duration leaveTime = std::chrono::seconds(2);
     /// Upper bound of the timeout for connecting to an upstream.
     kernel::Duration connectTimeout = std::chrono::milliseconds(300);
+    /// The operators may evacuate data centres, so no request is served before the evacuations are
+    /// known.
+    bool followsEvacuations = false;
 };
 
 /// Counters and histograms of the forwarder.
@@ -105,8 +108,8 @@
     ForwardingMetrics metrics;
 };
 
-/// Returns the upstreams of a service that a request may be sent to, according to their versions
-/// and drain states.
+/// Returns the upstreams of a service that a request may be sent to, according to their versions,
+/// their drain states and the evacuated data centres.
 std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
                                                  const kernel::ServiceName &service,
                                                  VersionChoice version);
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -84,6 +84,11 @@
     /// Number of tokens that one upstream keeps in memory; 0 if the service runs no model.
     std::int64_t memoryTokens = 0;
     std::vector<ModelPrice> models;
+    /// Time for which an upstream may be cold after it started.
+    kernel::Duration coldTime{};
+    /// Requests per second from all routers together that a cold upstream bears; 0 if it bears as
+    /// many as a warm one.
+    double coldPerSecond = 0;
 };
 
 /// A workspace's entry in the configuration.
@@ -125,6 +130,8 @@
     SoftwareVersion version;
     int slots = 1;
     bool draining = false;
+    /// Time for which the upstream stays cold, counted from its registration's last change.
+    kernel::Duration coldFor{};
     /// Start time of the process. A process with another start time under the same id has none of
     /// the state of the previous process.
     std::int64_t startedAtMs = 0;
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -78,6 +78,9 @@
         "A report of crashes could not be sent to another router directly; fields: to, status, detail, tries_left." },
     EventInfo{ EventId::PromptPartBlamed, "PromptPartBlamed", EventLevel::Warn,
         "A part of prompts is found to crash upstreams, or no longer; fields: service, part, blamed, crashes, requests, completed_ms (Unix), crashed_upstreams." },
+    EventInfo{ EventId::UpstreamCold, "UpstreamCold", EventLevel::Info,
+        "An upstream may be cold and gets few requests; fields: upstream, data_centre, cold_ms, requests per second "
+        "that it bears from all routers." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
@@ -109,6 +112,8 @@
         "What is known of an upstream changed; fields: upstream, change, service, version, draining." },
     EventInfo{ EventId::UpstreamsListed, "UpstreamsListed", EventLevel::Info,
         "All registrations were read at once; fields: their number. What they change is logged before." },
+    EventInfo{ EventId::EvacuationChanged, "EvacuationChanged", EventLevel::Info,
+        "An evacuation of a data centre began or ended; fields: data_centre, evacuated." },
     EventInfo{ EventId::PeerJoined, "PeerJoined", EventLevel::Info,
         "A peer became known." },
     EventInfo{ EventId::PeerSuspected, "PeerSuspected", EventLevel::Info,
