--- a/src/forwarding/internal/rollouts/rolloutplan.cpp
+++ b/src/forwarding/internal/rollouts/rolloutplan.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <iterator>
 
 namespace acaciasail::forwarding {
 
@@ -49,6 +50,10 @@
 // upstream tells nothing about the version.
 constexpr double minBadUpstreamFraction = 0.6;
 
+// Some slow responses are found at any version in a large fleet. They delay the last step only if
+// at least this fraction of the canaries gave them.
+constexpr double minSlowUpstreamFraction = 0.4;
+
 // A response is slow if it takes this many times the baseline plus this excess.
 constexpr double slowFactor = 3;
 constexpr double slowExcessSeconds = 0.1;
@@ -70,6 +75,9 @@
     double badFraction() const { return total == 0 ? 0 : static_cast<double>(bad) / total; }
 };
 
+// Index of the failures in measuresOf().
+constexpr std::size_t failureMeasure = 1;
+
 std::array<Measure, 2> measuresOf(const VersionEvidence &evidence)
 {
     return { Measure{ evidence.bad, evidence.total(), &evidence.badUpstreams, &evidence.upstreams },
@@ -111,9 +119,9 @@
     return found == evidence.oldByClass.end() ? none : found->second;
 }
 
-RolloutDoubt makeDoubt(const Measure &target, const kernel::VmId &vm)
+RolloutDoubt makeDoubt(const Measure &target, const kernel::VmId &vm, bool onlySlow)
 {
-    RolloutDoubt doubt{ vm, target.bad, {} };
+    RolloutDoubt doubt{ vm, target.bad, {}, onlySlow };
     for (const kernel::UpstreamId &id : *target.badUpstreams) {
         if (doubt.upstreams.size() < maxUpstreamsPerDoubt)
             doubt.upstreams.push_back(id);
@@ -182,13 +190,14 @@
     mean += baselineWeight * (seconds - mean);
 }
 
-// Returns whether the doubt names more upstreams than this router has already shared.
+// Returns whether the doubt says more than what this router has already shared.
 bool hasNewDoubt(const Rollout &rollout, const std::optional<RolloutDoubt> &doubt)
 {
     if (!doubt)
         return false;
     const auto shared = std::ranges::find(rollout.doubts, doubt->vm, &RolloutDoubt::vm);
-    return shared == rollout.doubts.end() || shared->upstreams.size() < doubt->upstreams.size();
+    return shared == rollout.doubts.end() || shared->upstreams.size() < doubt->upstreams.size()
+           || (shared->onlySlow && !doubt->onlySlow);
 }
 
 // Returns the number of the target's upstreams that gave bad responses according to any router.
@@ -200,6 +209,27 @@
     return upstreams.size();
 }
 
+std::size_t countCanaries(std::size_t target, int sharePermille)
+{
+    const auto fraction = static_cast<double>(sharePermille) / permille;
+    const auto canaries
+        = static_cast<std::size_t>(std::ceil(fraction * static_cast<double>(target)));
+    return std::min(target, std::max(canaries, minCanaries));
+}
+
+// Returns whether the doubts delay the roll-out's last step.
+bool delaysLastStep(const std::vector<RolloutDoubt> &doubts, std::size_t canaries)
+{
+    if (countDoubtedUpstreams(doubts) <= 1)
+        return false;
+    std::vector<RolloutDoubt> failures;
+    std::ranges::copy_if(doubts, std::back_inserter(failures),
+                         [](const RolloutDoubt &doubt) { return !doubt.onlySlow; });
+    return countDoubtedUpstreams(failures) > 1
+           || static_cast<double>(countDoubtedUpstreams(doubts))
+                  >= minSlowUpstreamFraction * static_cast<double>(canaries);
+}
+
 std::vector<RolloutDoubt> addDoubt(std::vector<RolloutDoubt> doubts,
                                    const std::optional<RolloutDoubt> &doubt)
 {
@@ -303,13 +333,16 @@
 std::optional<RolloutDoubt> ownDoubt(const RolloutEvidence &evidence, const kernel::VmId &vm)
 {
     std::optional<Measure> worst;
+    bool onlySlow = true;
     const auto consider = [&](const VersionEvidence &target, const VersionEvidence &old) {
         const auto targetMeasures = measuresOf(target);
         const auto oldMeasures = measuresOf(old);
         for (std::size_t i = 0; i < targetMeasures.size(); ++i) {
             const Measure &measure = targetMeasures[i];
-            if (measure.bad >= minBadResponsesToDoubt && isMoreOftenBad(measure, oldMeasures[i])
-                && (!worst || measure.bad > worst->bad))
+            if (measure.bad < minBadResponsesToDoubt || !isMoreOftenBad(measure, oldMeasures[i]))
+                continue;
+            onlySlow = onlySlow && i != failureMeasure;
+            if (!worst || measure.bad > worst->bad)
                 worst = measure;
         }
     };
@@ -318,7 +351,7 @@
         consider(target, oldOfClass(evidence, responseClass));
     if (!worst)
         return std::nullopt;
-    return makeDoubt(*worst, vm);
+    return makeDoubt(*worst, vm, onlySlow);
 }
 
 bool rejectedByDoubts(const std::vector<RolloutDoubt> &doubts, std::size_t upstreamsInUse)
@@ -348,10 +381,7 @@
 std::vector<const Upstream *> selectCanaries(std::vector<const Upstream *> target,
                                              int sharePermille)
 {
-    const auto fraction = static_cast<double>(sharePermille) / permille;
-    const auto canaryCount
-        = static_cast<std::size_t>(std::ceil(fraction * static_cast<double>(target.size())));
-    target.resize(std::min(target.size(), std::max(canaryCount, minCanaries)));
+    target.resize(countCanaries(target.size(), sharePermille));
     return target;
 }
 
@@ -370,7 +400,9 @@
     const bool full = rollout.state == RolloutState::Running && rollout.sharePermille >= permille;
     if (full && elapsedFraction >= completeFraction && newUpstreams * 2 >= oldUpstreams)
         return RolloutStep{ RolloutState::Completed, permille, rollout.doubts };
-    const bool doubtful = countDoubtedUpstreams(rollout.doubts) > 1;
+    const bool doubtful
+        = delaysLastStep(rollout.doubts, countCanaries(static_cast<std::size_t>(newUpstreams),
+                                                       rollout.sharePermille));
     int share = rollout.sharePermille;
     for (const Stage &stage : stages) {
         // The last step can't be undone, so a doubt delays it.
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -158,6 +158,8 @@
     int badResponses = 0;
     /// Upstreams of the target version that gave the bad responses.
     std::vector<kernel::UpstreamId> upstreams;
+    /// The responses were slow, and too few of them failed to doubt the target for that alone.
+    bool onlySlow = false;
 
     friend bool operator==(const RolloutDoubt &, const RolloutDoubt &) = default;
 };
--- a/src/forwarding/tests/rolloutplan_tests.cpp
+++ b/src/forwarding/tests/rolloutplan_tests.cpp
@@ -266,6 +266,35 @@
     EXPECT_FALSE(nextStep(rollout, {}, vm, 3, 3, at(2 * targetDuration)).has_value());
 }
 
+// In a large fleet some upstreams of any version are slow at times. Failures, and slowness of many
+// upstreams, still delay the step.
+TEST(RolloutPlan, SlowResponsesOfFewUpstreamsDoNotDelayLastStep)
+{
+    constexpr int upstreams = 80;
+    constexpr int slowCanaries = 8; // two fifths of the twenty canaries
+    Rollout rollout = running(250);
+    for (int i = 0; i + 1 < slowCanaries; ++i)
+        rollout.doubts.push_back({ kernel::VmId("vm-" + std::to_string(i)),
+                                   2,
+                                   { kernel::UpstreamId("new" + std::to_string(i)) },
+                                   true });
+    const auto lastStep = [&] {
+        return nextStep(rollout, {}, vm, upstreams, upstreams,
+                        at(kernel::scaled(targetDuration, 0.95)));
+    };
+    ASSERT_TRUE(lastStep());
+    EXPECT_EQ(lastStep()->sharePermille, 1000);
+    rollout.doubts[0].onlySlow = false;
+    EXPECT_EQ(lastStep()->sharePermille, 1000) << "one failing upstream tells nothing";
+    rollout.doubts[1].onlySlow = false;
+    EXPECT_FALSE(lastStep()) << "two upstreams that fail";
+    rollout.doubts[0].onlySlow = true;
+    rollout.doubts[1].onlySlow = true;
+    rollout.doubts.push_back(
+        { kernel::VmId("vm-last"), 2, { kernel::UpstreamId("newest") }, true });
+    EXPECT_FALSE(lastStep()) << "two fifths of the canaries are slow";
+}
+
 TEST(RolloutPlan, DoubtsOfOneRouterDoNotRejectTarget)
 {
     RolloutDoubt doubt{ vm, 1000, {} };
