--- a/src/forwarding/internal/directory.cpp
+++ b/src/forwarding/internal/directory.cpp
@@ -30,6 +30,12 @@
     }
 }
 
+void addRejected(std::set<SoftwareVersion> &rejected, const Rollout &rollout)
+{
+    if (rollout.state == RolloutState::RolledBack)
+        rejected.insert(rollout.target);
+}
+
 } // namespace
 
 std::string_view toString(DirectoryChange change)
@@ -132,18 +138,26 @@
 
 DirectoryChange putRollout(Directory &directory, const Rollout &rollout)
 {
-    const auto [at, added] = directory.rollouts.try_emplace(rollout.service, rollout);
-    if (added)
-        return DirectoryChange::Added;
-    if (rollout.revision <= at->second.revision)
+    const auto known = directory.rollouts.find(rollout.service);
+    if (known != directory.rollouts.end() && rollout.revision <= known->second.revision)
         return DirectoryChange::Stale;
-    at->second = rollout;
-    return DirectoryChange::Changed;
+    std::set<SoftwareVersion> &rejected = directory.rejectedVersions[rollout.service];
+    if (known != directory.rollouts.end())
+        addRejected(rejected, known->second);
+    rejected.insert(rollout.rejectedVersions.begin(), rollout.rejectedVersions.end());
+    rejected.erase(rollout.target);
+    const auto [at, added] = directory.rollouts.insert_or_assign(rollout.service, rollout);
+    at->second.rejectedVersions = rejected;
+    return added ? DirectoryChange::Added : DirectoryChange::Changed;
 }
 
 void removeRollout(Directory &directory, const kernel::ServiceName &service)
 {
-    directory.rollouts.erase(service);
+    const auto known = directory.rollouts.find(service);
+    if (known == directory.rollouts.end())
+        return;
+    addRejected(directory.rejectedVersions[service], known->second);
+    directory.rollouts.erase(known);
 }
 
 std::set<kernel::DataCentreId> replaceEvacuated(Directory &directory,
--- a/src/forwarding/internal/directory.h
+++ b/src/forwarding/internal/directory.h
@@ -28,6 +28,9 @@
     bool upstreamsKnown = false;
     std::map<kernel::UpstreamId, KnownUpstream> upstreams;
     std::map<kernel::ServiceName, Rollout> rollouts;
+    /// Versions that were rolled back. Their upstreams get no requests for as long as they are
+    /// registered, also once another roll-out is ordered.
+    std::map<kernel::ServiceName, std::set<SoftwareVersion>> rejectedVersions;
     /// Data centres whose upstreams get no requests, by the operators' order.
     std::set<kernel::DataCentreId> evacuated;
     /// Whether the evacuations are known; a router that follows none has nothing to learn.
@@ -82,7 +85,8 @@
 /// Removes the upstreams whose grace period has expired, and returns their ids.
 std::vector<kernel::UpstreamId> removeExpired(Directory &directory, kernel::Instant now);
 
-/// Stores a roll-out unless the same or a newer revision is known.
+/// Stores a roll-out unless the same or a newer revision is known. The roll-out's target no longer
+/// counts as rejected, and the target of the one before does if it was rolled back.
 DirectoryChange putRollout(Directory &directory, const Rollout &rollout);
 void removeRollout(Directory &directory, const kernel::ServiceName &service);
 
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -74,11 +74,15 @@
                                                  VersionChoice version)
 {
     const auto rollout = directory.rollouts.find(service);
+    const auto rejected = directory.rejectedVersions.find(service);
     std::vector<const Upstream *> result;
     for (const auto &[id, known] : directory.upstreams) {
         if (known.entry.service != service || known.entry.draining
             || directory.evacuated.contains(known.entry.dataCentre))
             continue;
+        if (rejected != directory.rejectedVersions.end()
+            && rejected->second.contains(known.entry.version))
+            continue;
         if (rollout != directory.rollouts.end() && version != VersionChoice::Any) {
             const bool hasTargetVersion = known.entry.version == rollout->second.target;
             if (hasTargetVersion != (version == VersionChoice::New))
@@ -127,8 +131,13 @@
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout)
 {
     std::pair<int, int> counts{ 0, 0 };
+    const auto rejected = directory.rejectedVersions.find(rollout.service);
+    const auto isRejected = [&](const SoftwareVersion &version) {
+        return rejected != directory.rejectedVersions.end() && rejected->second.contains(version);
+    };
     for (const auto &[id, known] : directory.upstreams) {
-        if (known.entry.service == rollout.service && !known.entry.draining)
+        if (known.entry.service == rollout.service && !known.entry.draining
+            && !isRejected(known.entry.version))
             ++(known.entry.version == rollout.target ? counts.first : counts.second);
     }
     return counts;
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -127,7 +127,7 @@
                                                   const kernel::ServiceName &service);
 
 /// Returns the number of ready upstreams of the roll-out's service: first those of the target
-/// version, then the others.
+/// version, then the others without those of rejected versions.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
 /// Records the time that a connect took; 0 if a kept-alive connection was used.
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -179,6 +180,8 @@
     std::optional<kernel::WallTime> startedAt;
     /// Holds at most one entry per router.
     std::vector<RolloutDoubt> doubts;
+    /// Versions that earlier roll-outs of the service rolled back.
+    std::set<SoftwareVersion> rejectedVersions;
     kernel::Revision revision;
 };
 
--- a/src/forwarding/tests/directory_tests.cpp
+++ b/src/forwarding/tests/directory_tests.cpp
@@ -156,3 +156,51 @@
     ASSERT_EQ(candidateUpstreams(directory, service, VersionChoice::Old).size(), 1U);
     EXPECT_EQ(candidateUpstreams(directory, service, VersionChoice::Old)[0]->id.str(), "old");
 }
+
+// Guards against sending sessions to a version that was rolled back, once the next one is ordered:
+// its upstreams leave some seconds later.
+TEST(DirectoryTest, RolledBackVersionStaysRejectedWhenNextRolloutIsOrdered)
+{
+    Directory directory;
+    const auto put = [&](const std::string &id, const std::string &version) {
+        Upstream entry = upstream(id);
+        entry.version = SoftwareVersion(version);
+        putUpstream(directory, entry);
+    };
+    put("a", "v1");
+    put("b", "v2");
+    put("c", "v3");
+    Rollout rollout;
+    rollout.service = kernel::ServiceName("s");
+    rollout.target = SoftwareVersion("v2");
+    rollout.state = RolloutState::RolledBack;
+    rollout.revision = kernel::Revision(1);
+    putRollout(directory, rollout);
+    rollout.target = SoftwareVersion("v3");
+    rollout.state = RolloutState::Ordered;
+    rollout.revision = kernel::Revision(2);
+    putRollout(directory, rollout);
+    const auto old = candidateUpstreams(directory, rollout.service, VersionChoice::Old);
+    ASSERT_EQ(old.size(), 1U);
+    EXPECT_EQ(old.front()->id.str(), "a");
+    EXPECT_EQ(countByVersion(directory, rollout), (std::pair{ 1, 1 }));
+    removeRollout(directory, rollout.service);
+    EXPECT_EQ(candidateUpstreams(directory, rollout.service, VersionChoice::Any).size(), 2U);
+    rollout.target = SoftwareVersion("v2");
+    rollout.revision = kernel::Revision(3);
+    putRollout(directory, rollout);
+    EXPECT_EQ(candidateUpstreams(directory, rollout.service, VersionChoice::New).size(), 1U)
+        << "a version that is ordered again is no longer rejected";
+}
+
+TEST(DirectoryTest, RejectedVersionsAreKnownAfterRestart)
+{
+    Directory directory;
+    putUpstream(directory, upstream("a"));
+    Rollout rollout;
+    rollout.service = kernel::ServiceName("s");
+    rollout.target = SoftwareVersion("v3");
+    rollout.rejectedVersions.insert(SoftwareVersion("v1"));
+    putRollout(directory, rollout);
+    EXPECT_TRUE(candidateUpstreams(directory, rollout.service, VersionChoice::Old).empty());
+}
