Routers of a data centre read what the store holds from each other (relays)

Cause: each router keeps its own set of watches, so store calls grow with the fleet. Change: KindWatcher keeps a mirror of its kind; a router answers list and watch on its internal listener while it reads from the store itself; the others of its data centre, ranked by rendezvous hashing, read from the first two, from the next ones in rank if these fail, and at last from the store. An answer that may lack a change that was handed on is never applied.

--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -19,6 +19,8 @@
 constexpr kernel::Duration drainCheckInterval = std::chrono::milliseconds(50);
 // The process may exit once no request has been in progress for this time.
 constexpr kernel::Duration drainIdleTime = std::chrono::milliseconds(200);
+// Enough for the open calls of the other routers of a large data centre.
+constexpr std::size_t maxInternalConnections = 2500;
 // Part of the stop timeout that is reserved for the exit of the process itself, and the part before
 // it in which the requests that are still running get a final response.
 constexpr kernel::Duration exitMargin = std::chrono::milliseconds(250);
@@ -116,14 +118,17 @@
         return {};
     http::ServerOptions metrics;
     metrics.listen = m_settings.metricsListen;
+    metrics.maxConnections = maxInternalConnections;
     BOOST_LEAF_ASSIGN(
         m_metricsServer,
         http::Server::listen(m_loop, metrics,
                              [this](const http::ServerRequest &request,
                                     const std::shared_ptr<http::Responder> &responder) {
-                                 answerInternal(request, *responder);
+                                 answerInternal(request, responder);
                              }));
     m_adapter.setReportAddress(m_metricsServer->endpoint());
+    if (m_settings.storeRelays)
+        m_adapter.useRelays(m_settings.forwarding.dataCentre);
     return {};
 }
 
@@ -161,6 +166,18 @@
                    });
     registry.gauge("acaciasail_store_calls", "Calls to the platform's store",
                    [this] { return static_cast<double>(m_adapter.storeCalls()); });
+    registry.gauge("acaciasail_relay_calls_sent",
+                   "Calls to other routers that answer in place of the store",
+                   [this] { return static_cast<double>(m_adapter.relayReader().calls()); });
+    registry.gauge("acaciasail_relay_calls_answered",
+                   "Calls of other routers that were answered in place of the store",
+                   [this] { return static_cast<double>(m_adapter.relayServer().calls()); });
+    registry.gauge("acaciasail_relay_bytes_received",
+                   "Bytes in the answers of other routers in place of the store",
+                   [this] { return static_cast<double>(m_adapter.relayReader().bytesReceived()); });
+    registry.gauge("acaciasail_relay_bytes_sent",
+                   "Bytes in the answers to other routers in place of the store",
+                   [this] { return static_cast<double>(m_adapter.relayServer().bytesSent()); });
     registry.gauge("acaciasail_store_age_seconds",
                    "Time since the store last showed that all changes are known, for the kind of "
                    "object where it is longest",
@@ -182,16 +199,20 @@
     return {};
 }
 
-// Serves the metrics, and takes the crash reports of other routers.
-void Router::answerInternal(const http::ServerRequest &request, http::Responder &responder)
+// Serves the metrics, takes the crash reports of other routers, and answers them in place of the
+// store.
+void Router::answerInternal(const http::ServerRequest &request,
+                            const std::shared_ptr<http::Responder> &responder)
 {
     if (request.method == "POST") {
         const bool accepted = m_adapter.receiveCrashReport(request);
-        responder.send(accepted ? httpNoContent : httpBadRequest, {}, "");
+        responder->send(accepted ? httpNoContent : httpBadRequest, {}, "");
         return;
     }
-    responder.send(httpOk, { { "content-type", "text/plain; version=0.0.4" } },
-                   m_forwarder.metrics().text());
+    if (m_adapter.answerRelayCall(request, responder))
+        return;
+    responder->send(httpOk, { { "content-type", "text/plain; version=0.0.4" } },
+                    m_forwarder.metrics().text());
 }
 
 bool Router::ready() const
@@ -243,6 +264,7 @@
     if (m_drainStartedAt)
         return;
     m_drainStartedAt = m_loop.scheduler().now();
+    m_adapter.stopRelaying();
     kernel::logEvent(kernel::EventId::DrainStarted,
                      { { "in_progress", m_forwarder.inProgress() },
                        { "connections", m_callerServer->connections() } });
--- a/src/app/router/router.h
+++ b/src/app/router/router.h
@@ -53,7 +53,8 @@
     forwarding::HttpSender sender();
     forwarding::ForwarderCallbacks makeForwarderCallbacks();
     kernel::Result<void> listen();
-    void answerInternal(const http::ServerRequest &request, http::Responder &responder);
+    void answerInternal(const http::ServerRequest &request,
+                        const std::shared_ptr<http::Responder> &responder);
     void answerReadiness(const std::shared_ptr<http::Responder> &responder);
     void checkSettings();
     void continueDrain();
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -75,6 +75,7 @@
     settings.store = reader.requiredEndpoint("store.address");
     settings.maxStoreAge = reader.milliseconds("store.max_age_ms", settings.maxStoreAge,
                                                { 1000, millisecondsPerMinute });
+    settings.storeRelays = reader.flag("store.relays", settings.storeRelays);
     settings.forwarding.leaveTime = reader.milliseconds("upstreams.leave_ms", defaultLeaveTime,
                                                         { 100, millisecondsPerMinute });
     settings.stopTimeout = readSeconds(reader, "stop.timeout_s", 8);
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -18,6 +18,8 @@
     kernel::Endpoint store;
     /// Upper bound of the age of what the router knows of the store while it can reach the store.
     kernel::Duration maxStoreAge = std::chrono::seconds(3);
+    /// Whether the routers of a data centre may read what the store holds from each other.
+    bool storeRelays = true;
     std::size_t maxConnections = 0;
     /// Maximum time from SIGTERM to the exit of the process.
     kernel::Duration stopTimeout{};
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -63,6 +63,8 @@
     StoreCallFailed = 5003,
     ObjectIgnored = 5004,
     ObjectsListed = 5005,
+    StoreSourceChanged = 5006,
+    RelayFailed = 5007,
     ConfigurationApplied = 5101,
     UpstreamRegistration = 5102,
     UpstreamsListed = 5103,
--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -112,11 +112,15 @@
     ListAttempt &attempt = m_listAttempts.at(number);
     // The watch starts at the first page's revision, so that it returns the changes made while the
     // other pages were read.
-    if (attempt.objects.empty())
+    if (attempt.objects.empty()) {
         attempt.revision = page.revision;
+        attempt.relayed = page.relayed;
+    }
     attempt.objects.insert(attempt.objects.end(), page.objects.begin(), page.objects.end());
-    for (const StoredObject &object : page.objects)
-        m_coordinator.recordChange(object.revision);
+    if (page.relayed.empty()) {
+        for (const StoredObject &object : page.objects)
+            m_coordinator.recordChange(object.revision);
+    }
     if (!page.hasMore || page.objects.empty()) {
         completeList(number, page.revision);
         return;
@@ -133,15 +137,93 @@
 {
     const ListAttempt attempt = std::move(m_listAttempts.at(number));
     endCalls();
-    logListed(attempt.objects.size(), std::exchange(m_revision, attempt.revision));
-    m_reported = { m_revision, attempt.startedAt };
-    m_currentAt = attempt.startedAt;
+    if (liesBehind(attempt.relayed)) {
+        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lies behind" });
+        return;
+    }
+    const bool fromRelay = !attempt.relayed.empty();
+    const kernel::Revision knownBefore = m_revision;
+    if (fromRelay) {
+        takeRelayed(attempt.relayed, attempt.revision);
+    } else {
+        m_revision = attempt.revision;
+        m_includes = std::max(m_includes, storeRevision);
+        m_reported = { m_revision, attempt.startedAt };
+        m_currentAt = attempt.startedAt;
+    }
+    logListed(attempt.objects.size(), knownBefore);
     onSuccess();
+    m_mirror.applyList(attempt.objects, fromRelay ? m_includes : attempt.revision, knownBefore);
     m_handlers.onList(attempt.objects);
-    m_coordinator.recordNamedRevision(storeRevision);
+    if (fromRelay)
+        m_coordinator.recordRelayed(attempt.relayed);
+    else
+        m_coordinator.recordNamedRevision(storeRevision);
+    reportProgress();
     scheduleWatch();
 }
 
+WatchOptions KindWatcher::options() const
+{
+    return m_reader.pace ? m_reader.pace(m_kind, m_options) : m_options;
+}
+
+// Returns whether a relay's answer may lack a change that was handed on.
+bool KindWatcher::liesBehind(const std::map<std::string, RelayedKnowledge> &relayed) const
+{
+    const auto found = relayed.find(m_kind);
+    return found != relayed.end() && found->second.known < m_includes;
+}
+
+// A relay has accounted for all changes up to the revision that it names for the kind.
+void KindWatcher::takeRelayed(const std::map<std::string, RelayedKnowledge> &relayed,
+                              kernel::Revision revision)
+{
+    const auto found = relayed.find(m_kind);
+    if (found == relayed.end())
+        return;
+    m_revision = std::max(m_revision, revision);
+    m_includes = std::max(m_includes, found->second.known);
+    m_currentAt = std::max(m_currentAt, m_scheduler.now() - found->second.age);
+    m_reported = { m_revision, m_currentAt };
+}
+
+std::optional<RelayedKnowledge> KindWatcher::knowledge() const
+{
+    if (!m_mirror.isListed() || m_revision < m_includes)
+        return std::nullopt;
+    return RelayedKnowledge{ .known = m_revision,
+                             .changedAt = m_mirror.changedAt(),
+                             .age = m_scheduler.now() - m_currentAt };
+}
+
+bool KindWatcher::confirm(const RelayedKnowledge &knowledge)
+{
+    if (!m_mirror.isListed())
+        return true;
+    if (knowledge.changedAt > m_revision)
+        return false;
+    m_revision = std::max(m_revision, knowledge.known);
+    m_currentAt = std::max(m_currentAt, m_scheduler.now() - knowledge.age);
+    return true;
+}
+
+void KindWatcher::requireRelayed(const RelayedKnowledge &knowledge)
+{
+    const kernel::Instant now = m_scheduler.now();
+    if (!m_watch.isOpen() || knowledge.changedAt <= m_revision
+        || now - m_missedChangeListAt < missedChangeListInterval)
+        return;
+    m_missedChangeListAt = now;
+    listAgain(ListReason::ChangeMissed);
+}
+
+void KindWatcher::reportProgress() const
+{
+    if (m_handlers.onProgress)
+        m_handlers.onProgress();
+}
+
 // Takes over the revision that the last response named, unless it includes a change that no watcher
 // has seen. Returns whether the revision was taken over.
 bool KindWatcher::acceptReportedRevision()
@@ -155,7 +237,7 @@
 
 void KindWatcher::scheduleWatch()
 {
-    kernel::Instant due = m_lastWatchAt + m_options.minInterval;
+    kernel::Instant due = m_lastWatchAt + options().minInterval;
     // Watching from the earlier revision would return the same changes once more.
     if (!acceptReportedRevision())
         due = std::max(due, m_scheduler.now() + 2 * responseSpread);
@@ -177,13 +259,29 @@
     m_failureCounted = false;
     const bool shortened = m_scheduler.now() < m_shortWatchesUntil;
     const kernel::Duration wait
-        = shortened ? std::min(shortWatchTimeout, m_options.wait) : m_options.wait;
+        = shortened ? std::min(shortWatchTimeout, options().wait) : options().wait;
     m_watch = m_reader.watch(
         m_kind, m_revision, wait,
         [this](const kernel::Completion<ObjectPage> &outcome) { onEvents(outcome); });
     expectResponse(wait + watchResponseLimit);
 }
 
+// Returns whether a change was handed on before and is followed by another one of the object, so
+// that it would take the object back.
+bool KindWatcher::isRepeated(const StoredObject &object, const ObjectPage &page) const
+{
+    const auto last = std::ranges::find(page.objects.rbegin(), page.objects.rend(), object.name,
+                                        &StoredObject::name);
+    return object.revision <= m_includes && &*last != &object;
+}
+
+// Returns the newest revision that the page's objects may include.
+kernel::Revision KindWatcher::newestState(const ObjectPage &page) const
+{
+    const auto found = page.relayed.find(m_kind);
+    return found == page.relayed.end() ? page.revision : found->second.known;
+}
+
 void KindWatcher::onEvents(const kernel::Completion<ObjectPage> &outcome)
 {
     endCalls();
@@ -191,15 +289,34 @@
         onFailure(outcome.error());
         return;
     }
-    logUnreadable(outcome.value().unreadable);
-    for (const StoredObject &object : outcome.value().objects) {
-        m_coordinator.recordChange(object.revision);
+    const ObjectPage &page = outcome.value();
+    const bool fromRelay = !page.relayed.empty();
+    if (liesBehind(page.relayed) && !page.objects.empty()) {
+        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lies behind" });
+        return;
+    }
+    logUnreadable(page.unreadable);
+    for (const StoredObject &object : page.objects) {
+        if (!fromRelay)
+            m_coordinator.recordChange(object.revision);
+        if (isRepeated(object, page))
+            continue;
+        m_mirror.applyChange(object, newestState(page));
         m_handlers.onChange(object);
     }
-    m_reported = { std::max(m_revision, outcome.value().revision), m_scheduler.now() };
+    if (fromRelay) {
+        takeRelayed(page.relayed, page.revision);
+    } else {
+        m_includes = std::max(m_includes, page.revision);
+        m_reported = { std::max(m_revision, page.revision), m_scheduler.now() };
+    }
     onSuccess();
-    m_coordinator.recordNamedRevision(outcome.value().revision);
+    if (fromRelay)
+        m_coordinator.recordRelayed(page.relayed);
+    else
+        m_coordinator.recordNamedRevision(page.revision);
     scheduleWatch();
+    reportProgress();
 }
 
 bool KindWatcher::endPauseIfBehind(NamedRevision named)
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -2,10 +2,12 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "storewatch/internal/kindmirror.h"
 #include "storewatch/internal/storereader.h"
 #include "storewatch/internal/watchcoordinator.h"
 
@@ -20,18 +22,8 @@
     std::function<void(const StoredObject &)> onChange;
     /// Called with whether the store is reachable, after the first list and at each change.
     std::function<void(bool)> onReachabilityChange;
-};
-
-/// How one kind is watched.
-struct WatchOptions
-{
-    /// Minimum time between the starts of two watches. The next watch returns all changes made in
-    /// the meantime in one call, which saves cost, as a store may charge for each call of each
-    /// router.
-    kernel::Duration minInterval{};
-    /// Time after which a watch returns without changes. It bounds the time for which a dead
-    /// connection goes unnoticed.
-    kernel::Duration wait = std::chrono::seconds(20);
+    /// Called after each response, once the other callbacks have been called; may be empty.
+    std::function<void()> onProgress = {};
 };
 
 /// Why the objects of a kind are listed, for the log.
@@ -70,6 +62,19 @@
     /// revision.
     void requireRevision(NamedRevision named);
 
+    /// Takes over that this kind is known up to what a relay knows, unless the watcher lacks a
+    /// change that the relay has. Returns whether it lacks none.
+    bool confirm(const RelayedKnowledge &knowledge);
+    /// Lists the objects again if the watcher still lacks a change that the relay has.
+    void requireRelayed(const RelayedKnowledge &knowledge);
+
+    const std::string &kind() const { return m_kind; }
+    /// Returns what another router may be told of this kind; nothing before the first list, and
+    /// while a change may be missed.
+    std::optional<RelayedKnowledge> knowledge() const;
+    /// Returns the kind's objects and its recent removals.
+    const KindMirror &mirror() const { return m_mirror; }
+
     /// Returns the revision up to which all changes of this kind are known.
     kernel::Revision revision() const { return m_revision; }
     /// Returns the time at which the store last showed that all changes of this kind are known; the
@@ -86,6 +91,8 @@
         kernel::Instant startedAt{};
         std::vector<StoredObject> objects;
         kernel::Revision revision;
+        // Set if a relay answered.
+        std::map<std::string, RelayedKnowledge> relayed;
     };
 
     void listAgain(ListReason reason);
@@ -94,6 +101,13 @@
     void onPage(AttemptNumber number, const kernel::Completion<ObjectPage> &outcome);
     void completeList(AttemptNumber number, kernel::Revision storeRevision);
     void endCalls();
+    WatchOptions options() const;
+    bool liesBehind(const std::map<std::string, RelayedKnowledge> &relayed) const;
+    void takeRelayed(const std::map<std::string, RelayedKnowledge> &relayed,
+                     kernel::Revision revision);
+    void reportProgress() const;
+    bool isRepeated(const StoredObject &object, const ObjectPage &page) const;
+    kernel::Revision newestState(const ObjectPage &page) const;
 
     void scheduleWatch();
     void sendWatch();
@@ -121,7 +135,11 @@
     AttemptNumber m_newestAttempt = 0;
     StoreCall m_watch;
 
+    KindMirror m_mirror;
     kernel::Revision m_revision;
+    // Newest revision that the objects handed on may include. What a relay tells of an earlier
+    // state is not applied, as it could undo a change.
+    kernel::Revision m_includes;
     // As the last response of this kind named it; it may include changes that nobody has seen yet.
     NamedRevision m_reported;
     kernel::Instant m_currentAt{};
--- a/src/storewatch/internal/storereader.h
+++ b/src/storewatch/internal/storereader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -20,6 +21,19 @@
     bool removed = false;
 };
 
+/// What a relay, a router that answers in place of the store, knows of one kind of object.
+struct RelayedKnowledge
+{
+    /// The relay knows all changes up to this revision, and none after it.
+    kernel::Revision known;
+    /// A router that knows all changes up to this revision lacks none that the relay has.
+    kernel::Revision changedAt;
+    /// Time since the store showed that the relay knows all changes.
+    kernel::Duration age{};
+
+    friend bool operator==(const RelayedKnowledge &, const RelayedKnowledge &) = default;
+};
+
 /// The objects of one kind that one list or watch call returned.
 struct ObjectPage
 {
@@ -28,8 +42,22 @@
     bool hasMore = false;
     /// Number of objects that can't be read; they are left out.
     std::size_t unreadable = 0;
-    /// The store's revision at the time of the call.
+    /// The store's revision at the time of the call; that up to which a relay knows the kind.
     kernel::Revision revision;
+    /// What the relay that answered knows, by kind; empty if the store answered.
+    std::map<std::string, RelayedKnowledge> relayed = {};
+};
+
+/// How one kind is watched.
+struct WatchOptions
+{
+    /// Minimum time between the starts of two watches. The next watch returns all changes made in
+    /// the meantime in one call, which saves cost, as a store may charge for each call of each
+    /// router.
+    kernel::Duration minInterval{};
+    /// Time after which a watch returns without changes. It bounds the time for which a dead
+    /// connection goes unnoticed.
+    kernel::Duration wait = std::chrono::seconds(20);
 };
 
 /// Whether a call may use a connection that was kept from an earlier call.
@@ -85,6 +113,9 @@
     std::function<StoreCall(const std::string &kind, kernel::Revision after, kernel::Duration wait,
                             kernel::Callback<ObjectPage> callback)>
         watch;
+    /// Returns how a kind is watched at the source that is read now; empty if that is always as the
+    /// given options say.
+    std::function<WatchOptions(const std::string &kind, const WatchOptions &options)> pace = {};
 };
 
 } // namespace acaciasail::storewatch
--- a/src/storewatch/internal/watchcoordinator.cpp
+++ b/src/storewatch/internal/watchcoordinator.cpp
@@ -35,6 +35,31 @@
         startComparison();
 }
 
+void WatchCoordinator::recordRelayed(const std::map<std::string, RelayedKnowledge> &relayed)
+{
+    bool complete = true;
+    for (KindWatcher *watcher : m_watchers) {
+        const auto found = relayed.find(watcher->kind());
+        complete = (found == relayed.end() || watcher->confirm(found->second)) && complete;
+    }
+    if (complete || m_relayedPending)
+        return;
+    m_relayedPending = true;
+    // The relay's answers to the other watches may still be on their way.
+    m_relayedTimer = kernel::Timer(m_scheduler, 2 * responseSpread,
+                                   [this, relayed] { requireRelayed(relayed); });
+}
+
+void WatchCoordinator::requireRelayed(const std::map<std::string, RelayedKnowledge> &relayed)
+{
+    m_relayedPending = false;
+    for (KindWatcher *watcher : m_watchers) {
+        const auto found = relayed.find(watcher->kind());
+        if (found != relayed.end())
+            watcher->requireRelayed(found->second);
+    }
+}
+
 void WatchCoordinator::startComparison()
 {
     m_comparisonPending = true;
--- a/src/storewatch/internal/watchcoordinator.h
+++ b/src/storewatch/internal/watchcoordinator.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <map>
+#include <string>
 #include <vector>
 
 #include "storewatch/internal/seenrevisions.h"
+#include "storewatch/internal/storereader.h"
 
 namespace acaciasail::storewatch {
 
@@ -46,6 +49,9 @@
     /// Records the store's revision as a response named it. The watchers compare it with what they
     /// know once the responses that are on their way have had time to arrive.
     void recordNamedRevision(kernel::Revision revision);
+    /// Records what a relay knows of each kind. A watcher that lacks a change which the relay has,
+    /// and doesn't get it soon, lists again.
+    void recordRelayed(const std::map<std::string, RelayedKnowledge> &relayed);
     /// Returns whether the watchers have seen all changes after the first revision, up to and
     /// including the second one.
     bool sawAllChanges(kernel::Revision after, kernel::Revision upTo) const
@@ -57,6 +63,7 @@
     void startComparison();
     void endPauses(NamedRevision named);
     void requireRevision(NamedRevision named);
+    void requireRelayed(const std::map<std::string, RelayedKnowledge> &relayed);
 
     const kernel::Scheduler &m_scheduler;
     std::vector<KindWatcher *> m_watchers;
@@ -65,6 +72,8 @@
     NamedRevision m_storeRevision;
     bool m_comparisonPending = false;
     kernel::Timer m_comparisonTimer;
+    bool m_relayedPending = false;
+    kernel::Timer m_relayedTimer;
 };
 
 /// Time within which the response to a call that the store has answered arrives, at the latest,
--- a/src/storewatch/storewatch.h
+++ b/src/storewatch/storewatch.h
@@ -5,7 +5,9 @@
 ///
 /// The store's wire format stays outside: an adapter supplies a StoreReader.
 
+#include "storewatch/internal/kindmirror.h"
 #include "storewatch/internal/kindwatcher.h"
+#include "storewatch/internal/relayselection.h"
 #include "storewatch/internal/seenrevisions.h"
 #include "storewatch/internal/storereader.h"
 #include "storewatch/internal/watchcoordinator.h"
