--- a/src/app/router/tests/storerelays_tests.cpp
+++ b/src/app/router/tests/storerelays_tests.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/names.h"
 #include "platform/testing/wireforms.h"
 #include "router/tests/loopbackrouters.h"
 
@@ -328,7 +329,7 @@
         request.endpoint = m_routers[ranking()[0]]->metricsEndpoint();
         request.path = path;
         if (!vm.empty())
-            request.headers.push_back({ "acaciasail-vm", vm });
+            request.headers.push_back({ std::string(platform::names::senderHeader), vm });
         std::optional<int> status;
         m_client.fetch(request, [&](const kernel::Completion<http::ClientResponse> &outcome) {
             status = outcome.ok() ? outcome.value().head.status : 0;
@@ -336,9 +337,10 @@
         m_loop.runUntil([&] { return status.has_value(); }, waitTimeout);
         return status.value_or(0);
     };
-    EXPECT_EQ(statusOf("/acaciasail/objects/config", ""), 403);
-    EXPECT_EQ(statusOf("/acaciasail/objects/config", "vm-9"), 200);
-    EXPECT_EQ(statusOf("/acaciasail/objects/config?Watch=1&WaitMs=x", "vm-9"), 410);
-    EXPECT_EQ(statusOf("/acaciasail/objects/secrets", "vm-9"), 404);
-    EXPECT_EQ(statusOf("/acaciasail/objects/config?Watch=99999999&WaitMs=200", "vm-9"), 200);
+    const std::string objects(platform::names::objectsPath);
+    EXPECT_EQ(statusOf(objects + "config", ""), 403);
+    EXPECT_EQ(statusOf(objects + "config", "vm-9"), 200);
+    EXPECT_EQ(statusOf(objects + "config?Watch=1&WaitMs=x", "vm-9"), 410);
+    EXPECT_EQ(statusOf(objects + "secrets", "vm-9"), 404);
+    EXPECT_EQ(statusOf(objects + "config?Watch=99999999&WaitMs=200", "vm-9"), 200);
 }
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -68,6 +68,8 @@
     /// Lists the objects again if the watcher still lacks a change that the relay has.
     void requireRelayed(const RelayedKnowledge &knowledge);
 
+    /// Returns whether the last calls were answered.
+    bool isReachable() const { return m_reachable; }
     const std::string &kind() const { return m_kind; }
     /// Returns what another router may be told of this kind; nothing before the first list, and
     /// while a change may be missed.
