--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -104,6 +104,7 @@
     if (change == DirectoryChange::Stale)
         return;
     m_state.tightestObjectives = tightestObjectives(*m_state.directory.configuration);
+    applyLimits(m_state);
     if (m_onConfiguration)
         m_onConfiguration(*m_state.directory.configuration);
 }
@@ -414,9 +415,7 @@
 
 bool Forwarder::isRejectedByDoubts(const Rollout &rollout) const
 {
-    const auto newCandidates
-        = candidateUpstreams(m_state.directory, rollout.service, VersionChoice::New);
-    return rejectedByDoubts(rollout.doubts, newCandidates.size());
+    return rejectedByDoubts(rollout.doubts, countCanaries(m_state.directory, rollout));
 }
 
 // Probes the upstreams that could not be reached or have sent nothing for a while, so that no
--- a/src/forwarding/internal/limits/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -58,13 +58,10 @@
     return service->coldPerSecond;
 }
 
-// Returns the limit that applies to an upstream: the one named to this router or the reported one,
-// and that of a cold upstream.
-std::optional<double> limitInForce(const UpstreamNotices &notices, std::optional<double> reported,
-                                   std::optional<double> cold)
+// Returns the limit that applies to an upstream, given the limits that it named and that it has
+// because it is cold.
+std::optional<double> limitInForce(std::optional<double> named, std::optional<double> cold)
 {
-    const std::optional<double> named
-        = notices.limit ? std::optional(notices.limit->perSecond) : reported;
     if (named && cold)
         return std::min(*named, *cold);
     return named ? named : cold;
@@ -108,8 +105,9 @@
 
 void recordColdUpstream(ForwardingState &state, const Upstream &upstream, kernel::Duration time)
 {
+    // An upstream may be known to be cold before the configuration is known.
     const Service *service = findService(state, upstream.service);
-    if (service == nullptr || service->coldPerSecond <= 0 || time <= kernel::Duration::zero())
+    if (time <= kernel::Duration::zero() || (service != nullptr && service->coldPerSecond <= 0))
         return;
     UpstreamRecord &record = state.records[upstream.id];
     const bool wasCold = isCold(record.notices, state.scheduler.now());
@@ -117,10 +115,11 @@
     applyLimit(state, upstream, reportedLimit(state, upstream));
     if (wasCold)
         return;
-    kernel::logEvent(kernel::EventId::UpstreamCold, { { "upstream", upstream.id },
-                                                      { "data_centre", upstream.dataCentre },
-                                                      { "cold_ms", kernel::toMilliseconds(time) },
-                                                      { "per_second", service->coldPerSecond } });
+    kernel::logEvent(kernel::EventId::UpstreamCold,
+                     { { "upstream", upstream.id },
+                       { "data_centre", upstream.dataCentre },
+                       { "cold_ms", kernel::toMilliseconds(time) },
+                       { "per_second", service != nullptr ? service->coldPerSecond : 0 } });
 }
 
 void recordRegisteredCold(ForwardingState &state, const Upstream &upstream)
@@ -157,8 +156,10 @@
     if (found == state.records.end())
         return;
     UpstreamNotices &notices = found->second.notices;
-    const std::optional<double> cold = coldLimit(state, upstream, notices);
-    const std::optional<double> limit = limitInForce(notices, reported, cold);
+    const std::optional<double> named
+        = notices.limit ? std::optional(notices.limit->perSecond) : reported;
+    const std::optional<double> limit
+        = limitInForce(named, coldLimit(state, upstream, notices));
     if (!limit) {
         if (notices.pace)
             logPace(state, upstream.id, 0, 0);
@@ -170,7 +171,11 @@
     if (setPace(notices.pace, share, now, state.random))
         logPace(state, upstream.id, *limit, share);
     notices.pace->limit = *limit;
-    if (!cold || notices.limit || reported || notices.coldUntil - now > minColdTimeForLeases)
+    if (!named)
+        notices.pace->namedSince.reset();
+    else if (!notices.pace->namedSince)
+        notices.pace->namedSince = now;
+    if (named || notices.coldUntil - now > minColdTimeForLeases)
         state.limitSharing.limitInForce = true;
 }
 
--- a/src/forwarding/internal/limits/upstreamlimit.cpp
+++ b/src/forwarding/internal/limits/upstreamlimit.cpp
@@ -54,7 +54,7 @@
 {
     if (pace && pace->perSecond == perSecond)
         return false;
-    RequestPace next = pace.value_or(RequestPace{ .since = now });
+    RequestPace next = pace.value_or(RequestPace{});
     next.perSecond = perSecond;
     next.nextAt = kernel::Instant::max();
     if (perSecond > 0) {
--- a/src/forwarding/internal/limits/upstreamlimit.h
+++ b/src/forwarding/internal/limits/upstreamlimit.h
@@ -39,8 +39,9 @@
     double perSecond = 0;
     /// The limit from which the pace was derived, in requests per second from all routers together.
     double limit = 0;
-    /// Time since which a limit has been known.
-    kernel::Instant since{};
+    /// Time since which the upstream has been known to name a limit, to this router or to another
+    /// one; not set if the pace has another reason.
+    std::optional<kernel::Instant> namedSince;
     /// Time of the last request since a limit has been known.
     std::optional<kernel::Instant> lastSentAt;
     /// Time from which the next request may be sent.
--- a/src/forwarding/internal/limits/upstreamnotices.cpp
+++ b/src/forwarding/internal/limits/upstreamnotices.cpp
@@ -61,9 +61,9 @@
 LimitChange recordLimit(UpstreamNotices &notices, std::optional<double> perSecond,
                         kernel::Instant sentAt, kernel::Instant now)
 {
-    const bool onlyReported = !notices.limit && notices.pace && !isCold(notices, now);
+    const bool onlyReported = !notices.limit && notices.pace && notices.pace->namedSince;
     if (!perSecond && onlyReported)
-        return sentAt > notices.pace->since ? LimitChange::Ended : LimitChange::None;
+        return sentAt > *notices.pace->namedSince ? LimitChange::Ended : LimitChange::None;
     return recordLimit(notices.limit, perSecond, sentAt, now);
 }
 
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -63,10 +63,11 @@
     query.lane = m_plan.lane;
     query.longObjectiveFraction = longObjectiveFraction(m_state.laneWork[m_plan.service]);
     query.now = now();
-    const auto choices
-        = selectUpstreams(reachableCandidates(m_state, m_plan.service, version), query);
+    const auto candidates = reachableCandidates(m_state, m_plan.service, version);
+    const auto choices = selectUpstreams(candidates, query);
     if (choices.empty())
-        finishWithoutResponse(EndReason::NoCapacity, "no_upstream");
+        finishWithoutResponse(EndReason::NoCapacity,
+                              reasonForNoUpstream(m_state, m_plan.service, candidates));
     else if (choices.size() == 1)
         startAttempt(choices.front());
     else
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -69,7 +69,15 @@
                               { { "kind", kind } });
 }
 
-std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
+namespace {
+
+bool isEvacuated(const Directory &directory, const Upstream &upstream)
+{
+    return directory.evacuated.contains(upstream.dataCentre);
+}
+
+// Like candidateUpstreams(), but with all upstreams of the target version.
+std::vector<const Upstream *> upstreamsOfVersion(const Directory &directory,
                                                  const kernel::ServiceName &service,
                                                  VersionChoice version)
 {
@@ -77,7 +85,7 @@
     std::vector<const Upstream *> result;
     for (const auto &[id, known] : directory.upstreams) {
         if (known.entry.service != service || known.entry.draining
-            || directory.evacuated.contains(known.entry.dataCentre))
+            || isEvacuated(directory, known.entry))
             continue;
         if (rollout != directory.rollouts.end() && version != VersionChoice::Any) {
             const bool hasTargetVersion = known.entry.version == rollout->second.target;
@@ -86,17 +94,65 @@
         }
         result.push_back(&known.entry);
     }
+    return result;
+}
+
+// Returns whether the upstream is cold and this router's share of its requests is used up.
+bool isColdShareUsed(const ForwardingState &state, const Upstream &upstream)
+{
+    const kernel::Instant now = state.scheduler.now();
+    const auto record = state.records.find(upstream.id);
+    return record != state.records.end() && isCold(record->second.notices, now)
+           && availabilityOf(record->second.notices, now) == Availability::Unavailable;
+}
+
+bool areColdSharesUsed(const ForwardingState &state,
+                       const std::vector<const Upstream *> &candidates)
+{
+    return std::ranges::all_of(candidates, [&](const Upstream *upstream) {
+        return isColdShareUsed(state, *upstream);
+    });
+}
+
+} // namespace
+
+std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
+                                                 const kernel::ServiceName &service,
+                                                 VersionChoice version)
+{
+    auto result = upstreamsOfVersion(directory, service, version);
+    const auto rollout = directory.rollouts.find(service);
     if (rollout != directory.rollouts.end() && version == VersionChoice::New
         && rollout->second.state == RolloutState::Running)
         return selectCanaries(std::move(result), rollout->second.sharePermille);
     return result;
 }
 
+std::string_view reasonForNoUpstream(const ForwardingState &state,
+                                     const kernel::ServiceName &service,
+                                     const std::vector<const Upstream *> &candidates)
+{
+    const Directory &directory = state.directory;
+    const bool evacuated = std::ranges::any_of(directory.upstreams, [&](const auto &item) {
+        return item.second.entry.service == service && isEvacuated(directory, item.second.entry);
+    });
+    if (candidates.empty())
+        return evacuated ? "evacuated" : "no_upstream";
+    const bool cold = std::ranges::any_of(candidates, [&](const Upstream *upstream) {
+        return isColdShareUsed(state, *upstream);
+    });
+    return cold ? "cold_share_used" : "no_upstream";
+}
+
 std::vector<const Upstream *> reachableCandidates(const ForwardingState &state,
                                                   const kernel::ServiceName &service,
                                                   VersionChoice version)
 {
     auto candidates = candidateUpstreams(state.directory, service, version);
+    // The requests of the target version's sessions stay with that version: if the canaries are
+    // cold, others of its upstreams take them.
+    if (version == VersionChoice::New && areColdSharesUsed(state, candidates))
+        candidates = upstreamsOfVersion(state.directory, service, version);
     if (version == VersionChoice::Any || !state.directory.storeUnreachable)
         return candidates;
     const bool reachable = std::ranges::any_of(candidates, [&](const Upstream *upstream) {
@@ -128,12 +184,26 @@
 {
     std::pair<int, int> counts{ 0, 0 };
     for (const auto &[id, known] : directory.upstreams) {
-        if (known.entry.service == rollout.service && !known.entry.draining)
+        if (known.entry.service == rollout.service && !known.entry.draining
+            && !isEvacuated(directory, known.entry))
             ++(known.entry.version == rollout.target ? counts.first : counts.second);
     }
     return counts;
 }
 
+std::size_t countCanaries(const Directory &directory, const Rollout &rollout)
+{
+    std::vector<const Upstream *> target;
+    for (const auto &[id, known] : directory.upstreams) {
+        if (known.entry.service == rollout.service && !known.entry.draining
+            && known.entry.version == rollout.target)
+            target.push_back(&known.entry);
+    }
+    if (rollout.state == RolloutState::Running)
+        target = selectCanaries(std::move(target), rollout.sharePermille);
+    return target.size();
+}
+
 void recordConnectTime(ForwardingState &state, kernel::Duration connectTime)
 {
     state.slowestConnectTime
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -108,6 +108,11 @@
     ForwardingMetrics metrics;
 };
 
+/// Returns why a request gets no upstream of a service, of which these are the candidates.
+std::string_view reasonForNoUpstream(const ForwardingState &state,
+                                     const kernel::ServiceName &service,
+                                     const std::vector<const Upstream *> &candidates);
+
 /// Returns the upstreams of a service that a request may be sent to, according to their versions,
 /// their drain states and the evacuated data centres.
 std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
@@ -126,10 +131,15 @@
 std::optional<kernel::Duration> remainingCooldown(const ForwardingState &state,
                                                   const kernel::ServiceName &service);
 
-/// Returns the number of ready upstreams of the roll-out's service: first those of the target
-/// version, then the others.
+/// Returns the number of ready upstreams of the roll-out's service that are not evacuated: first
+/// those of the target version, then the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
+/// Returns the number of upstreams that get the target version's requests at the present share.
+/// Evacuated ones count, because they got some earlier: an evacuation must not make the others' bad
+/// responses look like those of the whole version.
+std::size_t countCanaries(const Directory &directory, const Rollout &rollout);
+
 /// Records the time that a connect took; 0 if a kept-alive connection was used.
 void recordConnectTime(ForwardingState &state, kernel::Duration connectTime);
 
--- a/src/forwarding/tests/routerfleet.cpp
+++ b/src/forwarding/tests/routerfleet.cpp
@@ -14,6 +14,9 @@
 constexpr kernel::Duration limitWindow = 4s;
 constexpr double limitFactor = 1.5;
 constexpr int limitSlack = 5;
+constexpr kernel::Duration coldWindow = 1s;
+// Longest time until a router sees a change in the store.
+constexpr kernel::Duration maxDeliveryTime = 1s;
 // Time after which a response that names a limit binds the router that received it.
 constexpr kernel::Duration limitNoticeTime = 500ms;
 
@@ -56,7 +59,7 @@
 {
     m_clock.advance(100s);
     for (std::size_t i = 0; i < upstreams; ++i)
-        m_upstreams.push_back({ makeUpstream(i), std::nullopt, {}, {} });
+        m_upstreams.push_back({ .entry = makeUpstream(i) });
     for (std::size_t i = 0; i < routers; ++i)
         m_routers.push_back(std::make_unique<Member>());
     for (std::size_t i = 0; i < routers; ++i)
@@ -90,6 +93,9 @@
     options.vm = vmOf(number);
     options.retries = { 0.9, 500, 10s };
     member.handledSends = member.http.sends.size();
+    member.handledConnects = member.http.connects.size();
+    member.registrationsDueAt.clear();
+    member.evacuationsDueAt = kernel::Instant::max();
     member.forwarder = std::make_unique<Forwarder>(m_clock.scheduler(), makeCallbacks(number),
                                                    options, kernel::Random(m_random()));
     member.forwarder->setConfiguration(m_configuration, kernel::Revision(1));
@@ -97,6 +103,7 @@
     for (const FleetUpstream &upstream : m_upstreams)
         entries.push_back(upstream.entry);
     member.forwarder->setUpstreams(entries);
+    member.forwarder->setEvacuated(m_evacuated);
     member.forwarder->setStoreReachable(true);
     member.listDue = true;
     member.nextWatchAt = now();
@@ -138,6 +145,88 @@
     }
 }
 
+void RouterFleet::setColdLimit(double perSecond, kernel::Duration time)
+{
+    m_coldTime = time;
+    m_configuration = std::make_shared<Configuration>(*m_configuration);
+    m_configuration->number += ConfigurationNumber(1);
+    Service service;
+    service.name = kernel::ServiceName("plain");
+    service.coldTime = time;
+    service.coldPerSecond = perSecond;
+    m_configuration->services[service.name] = service;
+    for (const auto &member : m_routers) {
+        if (member->forwarder)
+            member->forwarder->setConfiguration(m_configuration, kernel::Revision(2));
+    }
+}
+
+void RouterFleet::setDataCentre(std::size_t upstream, const std::string &dataCentre)
+{
+    m_upstreams[upstream].entry.dataCentre = kernel::DataCentreId(dataCentre);
+    for (const auto &member : m_routers)
+        member->registrationsDueAt[upstream] = now();
+}
+
+kernel::Instant RouterFleet::nextDelivery()
+{
+    return now() + kernel::scaled(maxDeliveryTime, kernel::uniform01(m_random));
+}
+
+void RouterFleet::turnCold(std::size_t upstream)
+{
+    FleetUpstream &one = m_upstreams[upstream];
+    one.coldUntil = now() + m_coldTime;
+    // Differs from the value before, as the time that is left does.
+    one.entry.coldFor = one.entry.coldFor == m_coldTime ? m_coldTime - 1ms : m_coldTime;
+    for (const auto &member : m_routers)
+        member->registrationsDueAt[upstream] = nextDelivery();
+}
+
+void RouterFleet::setDark(std::size_t upstream, bool dark)
+{
+    const bool returns = std::exchange(m_upstreams[upstream].dark, dark) && !dark;
+    if (returns)
+        turnCold(upstream);
+}
+
+void RouterFleet::setEvacuated(const std::set<kernel::DataCentreId> &dataCentres)
+{
+    m_evacuated = dataCentres;
+    for (const auto &member : m_routers)
+        member->evacuationsDueAt = nextDelivery();
+}
+
+void RouterFleet::deliverRegistrations(Member &member)
+{
+    if (!member.reads)
+        return;
+    std::erase_if(member.registrationsDueAt, [&](const auto &item) {
+        if (item.second > now())
+            return false;
+        member.forwarder->setUpstream(m_upstreams[item.first].entry);
+        return true;
+    });
+    if (member.evacuationsDueAt > now())
+        return;
+    member.evacuationsDueAt = kernel::Instant::max();
+    member.forwarder->setEvacuated(m_evacuated);
+}
+
+void RouterFleet::answerProbes(Member &member)
+{
+    for (; member.handledConnects < member.http.connects.size(); ++member.handledConnects) {
+        FakeConnect connect = member.http.connects[member.handledConnects];
+        const auto upstream = std::ranges::find_if(m_upstreams, [&](const FleetUpstream &one) {
+            return one.entry.endpoint == connect.endpoint;
+        });
+        if (upstream->dark)
+            connect.fail();
+        else
+            connect.succeed();
+    }
+}
+
 void RouterFleet::publish(std::size_t number, const LimitReport &report)
 {
     if (!m_routers[number]->writes)
@@ -196,6 +285,8 @@
     request.key = "key";
     request.body = request.id.str();
     request.arrived = now();
+    if (m_hotShare > 0 && kernel::uniform01(m_random) < m_hotShare)
+        request.work = ModelWork{ "", 10, 10, { { "hot", 10 } } };
     m_openResponders.push_back(std::make_shared<FakeResponder>());
     running[kernel::uniformBelow(m_random, running.size())]->handle(std::move(request),
                                                                     m_openResponders.back());
@@ -209,10 +300,14 @@
         const std::string id(http::findHeader(send->request.headers, "upstream").value_or(""));
         const auto upstream = std::ranges::find_if(
             m_upstreams, [&](const FleetUpstream &one) { return one.entry.id.str() == id; });
+        if (upstream->dark) {
+            send->fail(kernel::ResultCode::UpstreamConnectFailed);
+            continue;
+        }
         const auto told = upstream->toldAt.find(number);
         const bool isTold
             = told != upstream->toldAt.end() && now() - told->second >= limitNoticeTime;
-        upstream->arrivals.push_back({ now(), isTold });
+        upstream->arrivals.push_back({ now(), isTold, now() < upstream->coldUntil });
         send->reportSent();
         PendingResponse response;
         response.dueAt = now() + responseTime;
@@ -277,7 +372,9 @@
             if (!m_routers[i]->forwarder)
                 continue;
             receiveRequests(i);
+            answerProbes(*m_routers[i]);
             deliverReports(*m_routers[i]);
+            deliverRegistrations(*m_routers[i]);
         }
         sendResponses();
         countResponses();
@@ -308,6 +405,26 @@
     return static_cast<int>(most);
 }
 
+int RouterFleet::mostColdArrivals(std::size_t upstream) const
+{
+    std::vector<kernel::Instant> times;
+    for (const FleetArrival &arrival : m_upstreams[upstream].arrivals) {
+        if (arrival.atColdUpstream)
+            times.push_back(arrival.time);
+    }
+    std::ptrdiff_t most = 0;
+    for (auto first = times.begin(); first != times.end(); ++first) {
+        const auto last = std::lower_bound(first, times.end(), *first + coldWindow);
+        most = std::max(most, last - first);
+    }
+    return static_cast<int>(most);
+}
+
+int RouterFleet::maxColdArrivals(double perSecond)
+{
+    return static_cast<int>(limitFactor * perSecond) + limitSlack;
+}
+
 int RouterFleet::mostArrivals(std::size_t upstream, kernel::Instant from) const
 {
     return countMost(upstream, from, false);
--- a/src/forwarding/tests/routerfleet.h
+++ b/src/forwarding/tests/routerfleet.h
@@ -17,9 +17,11 @@
     kernel::Instant time{};
     /// The router had received a response that names the limit half a second before or earlier.
     bool fromToldRouter = false;
+    /// The upstream was cold.
+    bool atColdUpstream = false;
 };
 
-/// An upstream of the fleet below. It may name a rate limit, which it does not enforce.
+/// An upstream of the fleet below. It may name a rate limit or be cold; it enforces no limit.
 struct FleetUpstream
 {
     Upstream entry;
@@ -28,6 +30,9 @@
     std::vector<FleetArrival> arrivals;
     /// Times at which the running routers first received a response that names the limit.
     std::map<std::size_t, kernel::Instant> toldAt;
+    /// Whether it refuses connections.
+    bool dark = false;
+    kernel::Instant coldUntil{};
 };
 
 /// Responses that the callers of the fleet got.
@@ -58,6 +63,19 @@
     void setConnected(std::size_t number, bool writes, bool reads);
     /// Replaces an upstream's process under the same id.
     void restartUpstream(std::size_t number);
+    /// Lets cold upstreams bear this many requests per second, and stay cold for this time.
+    void setColdLimit(double perSecond, kernel::Duration time);
+    /// Moves an upstream to a data centre, before the routers are told of it.
+    void setDataCentre(std::size_t upstream, const std::string &dataCentre);
+    /// The upstream turns cold. Its registration says so at once; routers see that up to a second
+    /// later, or when they see the store again.
+    void turnCold(std::size_t upstream);
+    /// The upstream refuses connections, until it comes back cold, as the same process.
+    void setDark(std::size_t upstream, bool dark);
+    /// The store's evacuations; routers see them as they see registrations.
+    void setEvacuated(const std::set<kernel::DataCentreId> &dataCentres);
+    /// Part of the callers' requests that belong to a single session.
+    void setHotShare(double share) { m_hotShare = share; }
     /// Routers that get no requests from callers.
     void setIdle(std::size_t number, bool idle);
 
@@ -75,6 +93,10 @@
     int mostArrivals(std::size_t upstream, kernel::Instant from) const;
     /// The same for the arrivals from routers that were told the limit by the upstream.
     int mostArrivalsFromTold(std::size_t upstream, kernel::Instant from) const;
+    /// Returns the largest number of arrivals within a second while the upstream was cold.
+    int mostColdArrivals(std::size_t upstream) const;
+    /// Returns the number of arrivals that are allowed in a second while an upstream is cold.
+    static int maxColdArrivals(double perSecond);
     /// Returns the number of arrivals that a limit allows in such a window.
     static int maxArrivals(double limitPerSecond);
 
@@ -90,6 +112,10 @@
         std::set<kernel::VmId> unseenChanges;
         kernel::Instant nextWatchAt{};
         std::size_t handledSends = 0;
+        std::size_t handledConnects = 0;
+        /// Times at which the router sees registrations that changed, and the evacuations.
+        std::map<std::size_t, kernel::Instant> registrationsDueAt;
+        kernel::Instant evacuationsDueAt = kernel::Instant::max();
     };
     struct PendingResponse
     {
@@ -106,6 +132,9 @@
     void remove(const kernel::VmId &vm);
     void notifyAll(const kernel::VmId &vm);
     void deliverReports(Member &member);
+    void deliverRegistrations(Member &member);
+    void answerProbes(Member &member);
+    kernel::Instant nextDelivery();
     void sendFromCaller();
     void receiveRequests(std::size_t number);
     int countMost(std::size_t upstream, kernel::Instant from, bool onlyTold) const;
@@ -121,6 +150,9 @@
     std::vector<PendingResponse> m_pendingResponses;
     std::vector<std::shared_ptr<FakeResponder>> m_openResponders;
     FleetResponses m_responses;
+    kernel::Duration m_coldTime{};
+    std::set<kernel::DataCentreId> m_evacuated;
+    double m_hotShare = 0;
     int m_reportWrites = 0;
     int m_lastRequestNumber = 0;
 };
