--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -12,6 +12,7 @@
 #include "callers.h"
 #include "configurationcheck.h"
 #include "crashingrequests.h"
+#include "evacuations.h"
 #include "faults.h"
 #include "runnernotices.h"
 #include "silences.h"
@@ -107,8 +108,10 @@
         std::optional<Silences> silences;
         if (!options.plannedOnly)
             silences.emplace(world, kernel::Random(random()));
+        std::optional<Evacuations> evacuations(std::in_place, world, kernel::Random(random()));
         play(std::chrono::seconds(options.seconds));
         faults.stop();
+        evacuations.reset();
         notices.reset();
         play(calmTime);
     }
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "evacuations.h"
 #include "findings.h"
 #include "runnernotices.h"
 #include "silences.h"
@@ -30,6 +31,8 @@
 constexpr kernel::Duration limitWindow = std::chrono::seconds(4);
 constexpr double limitFactor = 1.5;
 constexpr double limitSlack = 5;
+// Trouble excuses for this time after its end.
+constexpr kernel::Duration recoveryTime = std::chrono::seconds(3);
 // A restart or pause of a router excuses it from limits for this time.
 constexpr kernel::Duration limitExcuse = std::chrono::seconds(1);
 
@@ -203,6 +206,21 @@
            || std::ranges::any_of(record.planned, touches);
 }
 
+// The bytes of a killed process can't be taken back, so trouble of the router counts from the time
+// at which the request was sent.
+bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
+               kernel::Instant at)
+{
+    const auto affects = [&](const Disturbance &one) {
+        return (!one.router || *one.router == asked.router) && one.from <= at
+               && one.to + recoveryTime >= at;
+    };
+    const auto path = record.pathTrouble.find(runner);
+    return isRouterDisturbed(record, asked.router, std::min(asked.sent, at - recoveryTime), at)
+           || std::ranges::any_of(record.storeTrouble, affects)
+           || (path != record.pathTrouble.end() && std::ranges::any_of(path->second, affects));
+}
+
 std::vector<std::string> judge(const Record &record, const RepeatBound &repeats)
 {
     std::vector<std::string> broken = record.broken;
@@ -212,6 +230,8 @@
     judgeLimits(record, broken);
     judgeNotices(record, broken);
     judgeRegisteredLeaving(record, broken);
+    judgeEvacuations(record, broken);
+    judgeColdRunners(record, broken);
     return broken;
 }
 
--- a/soak/record.h
+++ b/soak/record.h
@@ -62,6 +62,14 @@
     kernel::Instant to{};
 };
 
+/// A period during which a data centre was evacuated, or a runner was cold.
+struct NamedPeriod
+{
+    std::string name;
+    kernel::Instant from{};
+    kernel::Instant to = kernel::Instant::max();
+};
+
 /// Observations of one run, from which the promises are checked.
 struct Record
 {
@@ -82,6 +90,11 @@
     /// When the store accepted that a runner leaves, for runners that don't announce it in their
     /// responses; by the runner's id.
     std::map<std::string, kernel::Instant> registeredLeaving;
+    /// By the name of the data centre; the store accepted the evacuation's start and end then.
+    std::vector<NamedPeriod> evacuations;
+    /// By the runner's id.
+    std::vector<NamedPeriod> coldTimes;
+    std::map<std::string, std::string> dataCentreOfRunner;
     /// Broken promises that were found during the run.
     std::vector<std::string> broken;
 };
@@ -97,6 +110,11 @@
 bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
                        kernel::Instant to);
 
+/// Returns whether trouble at the store, at the router or on the path to the runner excuses that a
+/// request reached the runner although the store said otherwise.
+bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
+               kernel::Instant at);
+
 /// The routers' retry budget.
 struct RepeatBound
 {
--- a/soak/silences.cpp
+++ b/soak/silences.cpp
@@ -21,22 +21,6 @@
 // A request must not reach a runner this long after the store has accepted that the runner leaves,
 // unless there was trouble at the store, the router or the path to the runner shortly before.
 constexpr kernel::Duration leaveTime = 2s;
-constexpr kernel::Duration recoveryTime = 3s;
-
-// The bytes of a killed process can't be taken back, so trouble of the router counts from the time
-// at which the request was sent.
-bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
-               kernel::Instant at)
-{
-    const auto affects = [&](const Disturbance &one) {
-        return (!one.router || *one.router == asked.router) && one.from <= at
-               && one.to + recoveryTime >= at;
-    };
-    const auto path = record.pathTrouble.find(runner);
-    return isRouterDisturbed(record, asked.router, std::min(asked.sent, at - recoveryTime), at)
-           || std::ranges::any_of(record.storeTrouble, affects)
-           || (path != record.pathTrouble.end() && std::ranges::any_of(path->second, affects));
-}
 
 } // namespace
 
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -86,7 +86,10 @@
         routes.push_back({ "extra", "safe", "desk" });
     m_extraRoute = withExtraRoute;
     m_configuredAt = scheduler().now();
-    m_store.put("config", "main", platform::testing::makeConfigurationSpec(++m_version, routes));
+    auto spec = platform::testing::makeConfigurationSpec(++m_version, routes);
+    for (const char *service : { "desk", "engines" })
+        platform::testing::addColdLimit(spec, service, coldPerSecond, coldTime);
+    m_store.put("config", "main", spec);
 }
 
 void World::addRouter(std::size_t number)
@@ -107,7 +110,8 @@
         << kernel::toString(place.storePath->endpoint()) << "\"\n[retries]\nratio = " << repeatRatio
         << "\nslack = " << repeatSlack << "\nwindow_s = " << repeatWindowSeconds
         << "\n[stop]\ntimeout_s = " << kernel::toSeconds(stopTimeout)
-        << "\nbalancer_delay_s = " << kernel::toSeconds(balancerDelay) << "\n";
+        << "\nbalancer_delay_s = " << kernel::toSeconds(balancerDelay)
+        << "\n[evacuations]\nfollow = true\n";
     startRouter(number);
 }
 
@@ -207,11 +211,16 @@
     }
 }
 
-void World::addRunner(const std::string &service)
+void World::addRunner(const std::string &service, bool registeredCold)
 {
     auto place = std::make_unique<RunnerPlace>();
     place->id = service + "-" + std::to_string(++m_lastRunner);
     place->service = service;
+    place->dataCentre = m_lastRunner % 2 == 0 ? "z" : "z2";
+    place->registeredCold = registeredCold;
+    m_record.dataCentreOfRunner[place->id] = place->dataCentre;
+    if (registeredCold)
+        recordCold(*place);
     place->standin
         = std::make_unique<RunnerStandin>(m_loop, kernel::Endpoint{ "127.0.0.1", 0 }, place->id);
     place->standin->behaviour().eventsPerStream = eventsPerStream;
@@ -231,9 +240,44 @@
 
 void World::registerRunner(const RunnerPlace &runner)
 {
-    m_store.put(
-        "servers", runner.id,
-        platform::testing::makeRunnerSpec(runner.service, runner.path->endpoint(), runner.leaving));
+    auto spec
+        = platform::testing::makeRunnerSpec(runner.service, runner.path->endpoint(), runner.leaving);
+    platform::testing::setDataCentre(spec, runner.dataCentre);
+    if (runner.registeredCold)
+        platform::testing::setColdTime(spec, coldTime);
+    m_store.put("servers", runner.id, spec);
+}
+
+void World::recordCold(const RunnerPlace &runner)
+{
+    const kernel::Instant now = scheduler().now();
+    m_record.coldTimes.push_back({ runner.id, now, now + coldTime });
+}
+
+void World::evacuate(const std::string &dataCentre, kernel::Duration time)
+{
+    m_store.put("evacuations", dataCentre, nlohmann::json::object());
+    m_record.evacuations.push_back({ dataCentre, scheduler().now() });
+    recordPlanned("evacuation", time + coldTime);
+    m_timers.emplace_back(scheduler(), time, [this, dataCentre] {
+        setRegisteredCold(dataCentre, true);
+        m_store.remove("evacuations", dataCentre);
+        m_record.evacuations.back().to = scheduler().now();
+    });
+    m_timers.emplace_back(scheduler(), time + coldTime,
+                          [this, dataCentre] { setRegisteredCold(dataCentre, false); });
+}
+
+void World::setRegisteredCold(const std::string &dataCentre, bool cold)
+{
+    for (const auto &runner : m_runners) {
+        if (runner->dataCentre != dataCentre || runner->registeredCold == cold)
+            continue;
+        runner->registeredCold = cold;
+        registerRunner(*runner);
+        if (cold)
+            recordCold(*runner);
+    }
 }
 
 void World::replaceRunner(std::size_t index)
@@ -362,7 +406,7 @@
     removeRunner(id);
     m_timers.emplace_back(scheduler(), lapseTime, [this, id] { m_store.remove("servers", id); });
     if (!wasLeaving) {
-        m_timers.emplace_back(scheduler(), newRunnerDelay, [this, service] { addRunner(service); });
+        m_timers.emplace_back(scheduler(), newRunnerDelay, [this, service] { addRunner(service, true); });
     }
 }
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -20,6 +20,10 @@
 inline constexpr double repeatSlack = 20;
 inline constexpr int repeatWindowSeconds = 10;
 
+/// What all cold runners bear, in requests per second, and how long they are cold.
+inline constexpr double coldPerSecond = 8;
+inline constexpr kernel::Duration coldTime = std::chrono::seconds(2);
+
 /// A request whose body starts with this text crashes the runner that starts to run it.
 inline constexpr std::string_view crashingBody = "crashing-";
 
@@ -56,9 +60,12 @@
 {
     std::string id;
     std::string service;
+    std::string dataCentre;
     std::unique_ptr<platform::testing::RunnerStandin> standin;
     std::unique_ptr<LoopbackProxy> path;
     bool leaving = false;
+    /// Whether its registration says that it is cold.
+    bool registeredCold = false;
     /// Time since which the runner has named a rate limit.
     std::optional<kernel::Instant> limitedSince;
 };
@@ -104,6 +111,8 @@
     void requestCooldown(std::size_t index, const std::string &retryAfter, kernel::Duration time);
     /// Lets a runner name a rate limit for some time.
     void limitRunner(std::size_t index, const std::string &perSecond, kernel::Duration time);
+    /// Evacuates a data centre for some time; its runners are cold at the end.
+    void evacuate(const std::string &dataCentre, kernel::Duration time);
     /// Ends a runner at once; the store learns of it later.
     void killRunner(std::size_t index);
 
@@ -131,7 +140,9 @@
     kernel::Endpoint unusedEndpoint();
     void addRouter(std::size_t number);
     void startRouter(std::size_t number);
-    void addRunner(const std::string &service);
+    void addRunner(const std::string &service, bool registeredCold = false);
+    void setRegisteredCold(const std::string &dataCentre, bool cold);
+    void recordCold(const RunnerPlace &runner);
     void registerRunner(const RunnerPlace &runner);
     void removeRunner(const std::string &id);
     // Changes the runner's behaviour after this time, if it is still there.
--- a/src/forwarding/internal/limits/limitsharing.cpp
+++ b/src/forwarding/internal/limits/limitsharing.cpp
@@ -12,6 +12,9 @@
 constexpr double chosenFraction = 0.85;
 constexpr double commonFraction = 0.1;
 constexpr double noLeaseFraction = 0.5;
+// The same for a cold upstream, which is warm again before the routers would have leases. All of
+// them know the number of routers, so they share it without the reserve for those that don't.
+constexpr double coldFraction = 0.7;
 // A limit is divided among at most as many routers as get this share each, in requests per second.
 constexpr double minChosenShare = 1;
 // An upstream that names a lower limit gets requests at this rate, in requests per second, because
@@ -232,12 +235,14 @@
 }
 
 double limitShare(const LimitSharing &sharing, const kernel::UpstreamId &process, double perSecond,
-                  kernel::Instant now)
+                  LimitReason reason, kernel::Instant now)
 {
     const double limit = std::max(perSecond, minLimit);
     const std::size_t routers = routerCount(sharing);
-    if (!holdsLease(sharing, now))
-        return sharing.routersListed ? noLeaseFraction * limit / static_cast<double>(routers) : 0;
+    if (!holdsLease(sharing, now)) {
+        const double fraction = reason == LimitReason::Cold ? coldFraction : noLeaseFraction;
+        return sharing.routersListed ? fraction * limit / static_cast<double>(routers) : 0;
+    }
     const std::size_t chosen = std::clamp<std::size_t>(
         static_cast<std::size_t>(std::min(limit / minChosenShare, static_cast<double>(routers))), 1,
         routers);
--- a/src/forwarding/internal/limits/limitsharing.h
+++ b/src/forwarding/internal/limits/limitsharing.h
@@ -93,10 +93,17 @@
 /// Returns whether this router may use the shares of the routers that are chosen for an upstream.
 bool holdsLease(const LimitSharing &sharing, kernel::Instant now);
 
+/// Why an upstream has a limit.
+enum class LimitReason {
+    Named,
+    /// The upstream is cold for a few seconds.
+    Cold,
+};
+
 /// Returns the number of requests per second that this router may send to an upstream process with
 /// a limit of `perSecond`.
 double limitShare(const LimitSharing &sharing, const kernel::UpstreamId &process, double perSecond,
-                  kernel::Instant now);
+                  LimitReason reason, kernel::Instant now);
 
 /// Returns the part of a limit that falls on each router on average.
 double averageShare(const LimitSharing &sharing, double perSecond);
--- a/src/forwarding/internal/limits/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -167,7 +167,9 @@
         return;
     }
     const kernel::Instant now = state.scheduler.now();
-    const double share = limitShare(state.limitSharing, processIdOf(upstream), *limit, now);
+    const LimitReason reason
+        = named && *limit == *named ? LimitReason::Named : LimitReason::Cold;
+    const double share = limitShare(state.limitSharing, processIdOf(upstream), *limit, reason, now);
     if (setPace(notices.pace, share, now, state.random))
         logPace(state, upstream.id, *limit, share);
     notices.pace->limit = *limit;
--- a/src/forwarding/tests/coldupstreams_tests.cpp
+++ b/src/forwarding/tests/coldupstreams_tests.cpp
@@ -229,6 +229,21 @@
     }
 }
 
+// The registrations can't tell anybody that the upstreams restarted.
+TEST(ColdUpstreams, FleetKeepsTheLimitWhenADataCentreReturnsWhileTheStoreIsAway)
+{
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+        ColdFleet fleet(seed);
+        for (std::size_t i = 0; i < fleetSize; ++i)
+            fleet.setConnected(i, false, false);
+        fleet.setDarkDataCentre(1, true);
+        fleet.run(5s, manyRequests);
+        fleet.setDarkDataCentre(1, false);
+        fleet.run(4s, manyRequests);
+        fleet.expectColdLimitsKept(seed);
+    }
+}
+
 TEST(ColdUpstreams, FleetKeepsTheLimitWhenAnEvacuationEnds)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
