--- a/src/forwarding/internal/limits/upstreamlimit.cpp
+++ b/src/forwarding/internal/limits/upstreamlimit.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/limits/upstreamlimit.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acaciasail::forwarding {
 
@@ -54,7 +55,7 @@
 {
     if (pace && pace->perSecond == perSecond)
         return false;
-    RequestPace next = pace.value_or(RequestPace{ .since = now });
+    RequestPace next = pace.value_or(RequestPace{});
     next.perSecond = perSecond;
     next.nextAt = kernel::Instant::max();
     if (perSecond > 0) {
@@ -67,6 +68,14 @@
     return true;
 }
 
+void restartPace(std::optional<RequestPace> &pace, kernel::Instant now, kernel::Random &random)
+{
+    if (!pace)
+        return;
+    const double perSecond = std::exchange(pace->perSecond, 0);
+    setPace(pace, perSecond, now, random);
+}
+
 bool isPaceBehind(const RequestPace &pace, kernel::Instant now)
 {
     return pace.perSecond > 0
--- a/src/forwarding/internal/limits/upstreamlimit.h
+++ b/src/forwarding/internal/limits/upstreamlimit.h
@@ -39,8 +39,9 @@
     double perSecond = 0;
     /// The limit from which the pace was derived, in requests per second from all routers together.
     double limit = 0;
-    /// Time since which a limit has been known.
-    kernel::Instant since{};
+    /// Time since which the upstream has been known to name a limit, to this router or to another
+    /// one; not set if the pace has another reason.
+    std::optional<kernel::Instant> namedSince;
     /// Time of the last request since a limit has been known.
     std::optional<kernel::Instant> lastSentAt;
     /// Time from which the next request may be sent.
@@ -54,6 +55,10 @@
 bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
              kernel::Random &random);
 
+/// Schedules the next request as if the pace had changed: requests that were not sent while the
+/// upstream could get none are not made up for, because all routers would do so at once.
+void restartPace(std::optional<RequestPace> &pace, kernel::Instant now, kernel::Random &random);
+
 /// Returns whether the pace falls behind: unless a request is sent now, the time without one is not
 /// made up for.
 bool isPaceBehind(const RequestPace &pace, kernel::Instant now);
