--- a/soak/childprocess.h
+++ b/soak/childprocess.h
@@ -25,6 +25,7 @@
     bool hasDefaultAction(int number) const;
     /// Checks and returns whether the process still runs.
     bool running();
+    pid_t pid() const { return m_pid; }
     /// How the process ended, such as "exit 0" or "signal 9"; empty while it runs.
     const std::string &ending() const { return m_ending; }
 
