One budget of memory and connections for callers

Cause: bodies were held whole from everybody, without a bound in all; readiness and metrics took bodies of 8 MB and 20,000 connections; a crowd that sent nothing held all connections of callers, and everybody else was closed.

Change: the server counts what is held for each connection (read bytes, bodies of running requests, queued responses, unread bytes in the system) after each read and each write. Above the limit the connections are closed that hold most and were silent for longest; requests that run, responses that move and ordinary callers go last (closingorder.h). If all connections are in use, room is made from those that never sent a request. A body without a route or a valid key is answered from the head and dropped as it comes, a head over the limit gets 431. Readiness and metrics have small limits of their own. Sockets of callers have bounded buffers, and freed buffers go back to the system. Callers' sockets have no TCP_USER_TIMEOUT any more, which also ends peers that answer without taking bytes; one that answers nothing is found by TCP_INFO. Responses queue less while many requests run.

--- a/soak/crowds/crowds_tests.cpp
+++ b/soak/crowds/crowds_tests.cpp
@@ -198,10 +198,19 @@
     return behaviour;
 }
 
+// A loopback address of this process's own, so that no other program takes a port meanwhile.
+std::string ownLoopback()
+{
+    constexpr int octet = 250;
+    const int pid = getpid();
+    return "127." + std::to_string(1 + pid / octet % octet) + "." + std::to_string(1 + pid % octet)
+           + ".2";
+}
+
 // The address and port of a listener that is closed again.
 kernel::Endpoint freeEndpoint()
 {
-    const auto fd = kernel::capture([] { return http::openListener({ "127.0.0.1", 0 }); });
+    const auto fd = kernel::capture([] { return http::openListener({ ownLoopback(), 0 }); });
     http::SocketAddress bound;
     bound.length = sizeof bound.storage;
     getsockname(fd.value(), bound.get(), &bound.length);
@@ -247,7 +256,10 @@
         std::filesystem::remove_all(folder);
     }
 
-    static std::string memorySetting() { return ""; }
+    static std::string memorySetting()
+    {
+        return "memory_mb = " + std::to_string(memoryMegabytes) + "\n";
+    }
 
     // Returns the response's status; 0 without one.
     int ask(const kernel::Endpoint &router, const std::string &path, const std::string &body)
--- a/src/app/router/main.cpp
+++ b/src/app/router/main.cpp
@@ -3,14 +3,25 @@
 
 #include <csignal>
 
+#include <malloc.h>
+
 #include "commandline/commandline.h"
 #include "router/router.h"
 #include "router/routersettings.h"
 
 using namespace acaciasail;
 
+// Returns large buffers to the system as soon as they are freed.
+static void releaseLargeBuffers()
+{
+    constexpr int largeBytes = 64 << 10;
+    mallopt(M_MMAP_THRESHOLD, largeBytes);
+    mallopt(M_TRIM_THRESHOLD, 4 * largeBytes);
+}
+
 int main(int argc, const char **argv)
 {
+    releaseLargeBuffers();
     // A SIGHUP that arrives before the settings are read needs no reload, as they are read anyway.
     std::signal(SIGHUP, SIG_IGN);
     router::RouterSettings settings;
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -24,6 +24,22 @@
 constexpr kernel::Duration exitMargin = std::chrono::milliseconds(250);
 constexpr kernel::Duration finalResponseTime = std::chrono::milliseconds(150);
 
+// The balancer, the metrics' readers and the other routers need no more than this.
+constexpr std::size_t internalConnections = 64;
+constexpr std::size_t internalMemoryBytes = 2U << 20U;
+constexpr std::size_t internalHeadBytes = 16U << 10U;
+constexpr std::size_t internalBodyBytes = 512U << 10U;
+constexpr kernel::Duration internalRequestTime = std::chrono::seconds(5);
+
+void limitInternalServer(http::ServerOptions &options)
+{
+    options.maxConnections = internalConnections;
+    options.memoryBytes = internalMemoryBytes;
+    options.maxHeadBytes = internalHeadBytes;
+    options.maxBodyBytes = internalBodyBytes;
+    options.headTimeout = internalRequestTime;
+}
+
 FileStamp readFileStamp(const std::string &file)
 {
     constexpr std::int64_t nsPerSecond = 1'000'000'000;
@@ -84,8 +100,10 @@
         = [this](const kernel::VmId &vm) { m_adapter.removeLimitReport(vm); };
     callbacks.onConfiguration = [this](const forwarding::Configuration &configuration) {
         if (m_callerServer)
-            m_callerServer->setLimits(configuration.limits.maxBodyBytes,
-                                      configuration.limits.idleTimeout);
+            m_callerServer->setLimits({ .maxHeadBytes = configuration.limits.maxHeaderBytes,
+                                        .maxBodyBytes = configuration.limits.maxBodyBytes,
+                                        .headTimeout = configuration.limits.headerTimeout,
+                                        .requestTimeout = configuration.limits.idleTimeout });
     };
     return callbacks;
 }
@@ -95,6 +113,10 @@
     http::ServerOptions callers;
     callers.listen = m_settings.callersListen;
     callers.maxConnections = m_settings.maxConnections;
+    callers.memoryBytes = m_settings.callerMemoryBytes;
+    callers.acceptsBody = [this](const http::ServerRequest &head) {
+        return m_forwarder.accepts(platform::decodeRequest(head, m_loop.scheduler().now()));
+    };
     BOOST_LEAF_ASSIGN(
         m_callerServer,
         http::Server::listen(
@@ -105,6 +127,8 @@
             }));
     http::ServerOptions readiness;
     readiness.listen = m_settings.readinessListen;
+    limitInternalServer(readiness);
+    readiness.acceptsBody = [](const http::ServerRequest &) { return false; };
     BOOST_LEAF_ASSIGN(
         m_readinessServer,
         http::Server::listen(
@@ -116,6 +140,8 @@
         return {};
     http::ServerOptions metrics;
     metrics.listen = m_settings.metricsListen;
+    limitInternalServer(metrics);
+    metrics.acceptsBody = [](const http::ServerRequest &head) { return head.method == "POST"; };
     BOOST_LEAF_ASSIGN(
         m_metricsServer,
         http::Server::listen(m_loop, metrics,
--- a/src/app/router/routersettings.cpp
+++ b/src/app/router/routersettings.cpp
@@ -1,5 +1,7 @@
 #include "router/routersettings.h"
 
+#include <algorithm>
+
 namespace acaciasail::router {
 
 namespace {
@@ -55,6 +57,31 @@
                        { 0, maxConfidenceThreshold }));
 }
 
+// Callers get a fifth of the process's memory and five eighths of its descriptors: their requests
+// need connections to upstreams, and the rest of the process some.
+void readCallerLimits(settings::Reader &reader, RouterSettings &settings)
+{
+    constexpr std::int64_t megabyte = 1 << 20;
+    constexpr std::int64_t maxMegabytes = 1 << 20;
+    constexpr std::int64_t callersPart = 5;
+    constexpr std::int64_t maxConnections = 1'000'000;
+    constexpr std::int64_t usualConnections = 4000;
+    constexpr std::int64_t usualMegabytes = 64;
+    const std::int64_t memory = reader.integer("router.memory_mb", 0, { 0, maxMegabytes });
+    const std::int64_t descriptors
+        = reader.integer("router.max_descriptors", 0, { 0, maxConnections });
+    const std::int64_t megabytes = reader.integer(
+        "callers.memory_mb",
+        memory > 0 ? std::max<std::int64_t>(memory / callersPart, 1) : usualMegabytes,
+        { 1, maxMegabytes });
+    settings.callerMemoryBytes = static_cast<std::size_t>(megabytes * megabyte);
+    const std::int64_t connections
+        = descriptors > 0 ? std::clamp<std::int64_t>(descriptors * 5 / 8, 1, usualConnections)
+                          : usualConnections;
+    settings.maxConnections = static_cast<std::size_t>(
+        reader.integer("callers.max_connections", connections, { 1, maxConnections }));
+}
+
 } // namespace
 
 CheckedRouterSettings readRouterSettings(settings::Reader &reader)
@@ -67,9 +94,7 @@
     settings.log.recentLines = 0;
     settings.log.level = kernel::EventLevel::Info;
     settings.callersListen = reader.requiredEndpoint("callers.listen");
-    constexpr std::int64_t maxConnections = 1'000'000;
-    settings.maxConnections = static_cast<std::size_t>(
-        reader.integer("callers.max_connections", 4000, { 1, maxConnections }));
+    readCallerLimits(reader, settings);
     settings.readinessListen = reader.requiredEndpoint("readiness.listen");
     settings.metricsListen = reader.endpoint("metrics.listen", {});
     settings.store = reader.requiredEndpoint("store.address");
--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -19,6 +19,8 @@
     /// Upper bound of the age of what the router knows of the store while it can reach the store.
     kernel::Duration maxStoreAge = std::chrono::seconds(3);
     std::size_t maxConnections = 0;
+    /// Bytes held for callers above which their connections are closed.
+    std::size_t callerMemoryBytes = 64U << 20U;
     /// Maximum time from SIGTERM to the exit of the process.
     kernel::Duration stopTimeout{};
     /// Time after SIGTERM in which the load balancer may still send new connections.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "forwarding/internal/limits/requestlimits.h"
+#include "forwarding/internal/request/requestplan.h"
 #include "forwarding/internal/request/requestreport.h"
 
 namespace acaciasail::forwarding {
@@ -93,6 +94,11 @@
     job->start();
 }
 
+bool Forwarder::accepts(const Request &request) const
+{
+    return !refuseByHead(m_state, request);
+}
+
 void Forwarder::setConfiguration(std::shared_ptr<const Configuration> configuration,
                                  kernel::Revision revision)
 {
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -55,6 +55,9 @@
     Forwarder &operator=(const Forwarder &) = delete;
 
     void handle(Request request, std::shared_ptr<http::Responder> responder);
+    /// Returns whether a request with this head would be sent to an upstream as far as its route
+    /// and its key decide; the body need not be known.
+    bool accepts(const Request &request) const;
 
     void setConfiguration(std::shared_ptr<const Configuration> configuration,
                           kernel::Revision revision);
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -214,7 +214,8 @@
 // unread.
 void Job::applyBackpressure()
 {
-    if (m_responder->queuedBytes() <= maxQueuedBytes || !m_exchange)
+    if (m_responder->queuedBytes() <= std::min(maxQueuedBytes, m_responder->queueLimit())
+        || !m_exchange)
         return;
     m_exchange->pauseReading(true);
     m_responder->whenDrained([weak = weak_from_this()] {
--- a/src/forwarding/internal/request/requestplan.cpp
+++ b/src/forwarding/internal/request/requestplan.cpp
@@ -104,6 +104,14 @@
 
 } // namespace
 
+std::optional<Refusal> refuseByHead(const ForwardingState &state, const Request &request)
+{
+    RequestPlan plan;
+    if (auto refusal = findRoute(state, request, plan))
+        return refusal;
+    return identifyCaller(request, plan);
+}
+
 std::optional<Refusal> planRequest(ForwardingState &state, const Request &request,
                                    RequestPlan &plan)
 {
--- a/src/forwarding/internal/request/requestplan.h
+++ b/src/forwarding/internal/request/requestplan.h
@@ -40,6 +40,9 @@
     kernel::Duration retryAfter{};
 };
 
+/// Returns the refusal of a request that follows from its head alone, such as an unknown route.
+std::optional<Refusal> refuseByHead(const ForwardingState &state, const Request &request);
+
 /// Checks a request against the configuration in force and fills its plan; returns the refusal if
 /// the request can't be served.
 std::optional<Refusal> planRequest(ForwardingState &state, const Request &request,
--- a/src/framework/http/internal/eventloop.cpp
+++ b/src/framework/http/internal/eventloop.cpp
@@ -76,6 +76,7 @@
     std::map<Key, std::function<void()>> timers;
     std::unordered_map<kernel::TimerId, Key> timerKeys;
     h2o_socket_t *signalSocket = nullptr;
+    std::vector<std::function<void()>> turnEnd;
     std::function<void()> terminate;
     std::function<void()> reload;
 
@@ -122,6 +123,8 @@
 
 int EventLoop::Impl::waitMilliseconds(kernel::Duration atMost) const
 {
+    if (!turnEnd.empty())
+        return 0;
     kernel::Duration wait = atMost;
     if (!timers.empty())
         wait = std::min(wait, timers.begin()->first.first - steadyNow());
@@ -135,6 +138,8 @@
 {
     h2o_evloop_run(loop, waitMilliseconds(atMost));
     runDueTimers();
+    for (const auto &function : std::exchange(turnEnd, {}))
+        function();
 }
 
 void EventLoop::Impl::listenForSignals()
@@ -221,6 +226,11 @@
     return true;
 }
 
+void EventLoop::atTurnEnd(std::function<void()> function)
+{
+    m_impl->turnEnd.push_back(std::move(function));
+}
+
 void EventLoop::stop()
 {
     m_impl->stopped = true;
--- a/src/framework/http/internal/eventloop.h
+++ b/src/framework/http/internal/eventloop.h
@@ -27,6 +27,8 @@
     void runOnce(kernel::Duration atMost);
     /// Runs until the condition holds or the time is over; tells which. For tests and tools.
     bool runUntil(const std::function<bool()> &condition, kernel::Duration atMost);
+    /// Calls the function once, at the end of the current turn or of the next one.
+    void atTurnEnd(std::function<void()> function);
     /// Ends run() after the current turn; may be called from a signal handler.
     void stop();
 
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -4,9 +4,9 @@
 
 #include <sys/socket.h>
 
-namespace acaciasail::http {
+#include "http/internal/callerconnections.h"
 
-namespace {
+namespace acaciasail::http {
 
 const char *reasonOf(int status)
 {
@@ -42,6 +42,17 @@
     }
 }
 
+namespace {
+
+// Empties the text, and frees its memory where that is large.
+void dropBytes(std::string &text)
+{
+    constexpr std::size_t keptBytes = 16U << 10U;
+    if (text.capacity() > keptBytes)
+        text = std::string();
+    text.clear();
+}
+
 } // namespace
 
 H2oResponder::H2oResponder(h2o_req_t *request)
@@ -52,24 +63,35 @@
 H2oResponder::~H2oResponder()
 {
     end();
+    dropBytes(m_queue);
+    dropBytes(m_inFlight);
+    countQueue();
 }
 
-void H2oResponder::attach(std::shared_ptr<std::size_t> unsentAnswers)
+void H2oResponder::attach(std::shared_ptr<CallerConnections> connections)
 {
-    ++*unsentAnswers;
+    // The handler keeps a copy of the body, and what is sent on holds another.
+    constexpr std::size_t bodyCopies = 2;
+    m_connections = std::move(connections);
+    m_connection = CallerConnections::find(m_request->conn->callbacks->get_socket(m_request->conn));
+    const std::size_t bodyBytes = bodyCopies * m_request->entity.len;
+    m_connections->requestBegan(*m_connection, bodyBytes);
     void *memory
         = h2o_mem_alloc_shared(&m_request->pool, sizeof(Attachment), &H2oResponder::onDispose);
-    new (memory) Attachment{ weak_from_this(), std::move(unsentAnswers) };
+    m_attachment
+        = new (memory) Attachment{ weak_from_this(), m_connections, m_connection, bodyBytes, 0 };
 }
 
 void H2oResponder::onDispose(void *memory)
 {
     auto *attachment = static_cast<Attachment *>(memory);
-    --*attachment->unsentAnswers;
     const std::shared_ptr<H2oResponder> responder = attachment->responder.lock();
-    attachment->~Attachment();
     if (responder)
         responder->callerGone();
+    attachment->connections->addAnswerBytes(*attachment->connection,
+                                            -static_cast<std::ptrdiff_t>(attachment->endBytes));
+    attachment->connections->requestFreed(attachment->connection, attachment->bodyBytes);
+    attachment->~Attachment();
 }
 
 void H2oResponder::setHead(int status, const Headers &headers)
@@ -95,6 +117,8 @@
     setHead(status, headers);
     m_request->res.content_length = body.size();
     // The request may be freed within the call, so it is let go first.
+    m_attachment->endBytes = body.size();
+    m_connections->addAnswerBytes(*m_connection, static_cast<std::ptrdiff_t>(body.size()));
     h2o_req_t *request = std::exchange(m_request, nullptr);
     end();
     h2o_send_inline(request, body.data(), body.size());
@@ -116,6 +140,7 @@
     if (m_request == nullptr || !m_started || m_finishing)
         return;
     m_queue.append(piece);
+    countQueue();
     pump();
 }
 
@@ -158,7 +183,6 @@
         return;
     m_wrote = true;
     m_inFlight.swap(m_queue);
-    m_queue.clear();
     m_sending = true;
     h2o_iovec_t buffer = h2o_iovec_init(m_inFlight.data(), m_inFlight.size());
     h2o_send(m_request, &buffer, 1, H2O_SEND_STATE_IN_PROGRESS);
@@ -171,6 +195,10 @@
     // The last piece is copied into the request's memory, which lives until it is sent.
     h2o_iovec_t buffer = h2o_strdup(&request->pool, m_queue.data(), m_queue.size());
     const std::size_t count = m_queue.empty() || state == H2O_SEND_STATE_ERROR ? 0 : 1;
+    m_attachment->endBytes = m_queue.size();
+    m_connections->addAnswerBytes(*m_connection, static_cast<std::ptrdiff_t>(m_queue.size()));
+    dropBytes(m_queue);
+    countQueue();
     end();
     h2o_send(request, &buffer, count, state);
 }
@@ -182,7 +210,8 @@
         return;
     const auto keepAlive = self->shared_from_this();
     self->m_sending = false;
-    self->m_inFlight.clear();
+    dropBytes(self->m_inFlight);
+    self->countQueue();
     self->pump();
     if (self->m_request != nullptr && !self->m_sending && self->m_onDrained)
         std::exchange(self->m_onDrained, nullptr)();
@@ -203,6 +232,9 @@
         return;
     const auto keepAlive = shared_from_this();
     m_request = nullptr;
+    dropBytes(m_queue);
+    dropBytes(m_inFlight);
+    countQueue();
     const std::function<void()> onClosed = std::move(m_onClosed);
     end();
     if (onClosed)
@@ -232,8 +264,26 @@
     m_onClosed = nullptr;
     m_onDrained = nullptr;
     m_self = nullptr;
-    if (m_onEnd)
+    if (m_onEnd) {
+        m_connections->requestAnswered(*m_connection);
         std::exchange(m_onEnd, nullptr)();
+    }
+}
+
+void H2oResponder::countQueue()
+{
+    if (!m_connections)
+        return;
+    // While much is queued, what comes next waits in the buffer of the connection that it comes
+    // from.
+    constexpr std::size_t sourceBytes = 128U << 10U;
+    constexpr std::size_t muchQueued = 64U << 10U;
+    std::size_t bytes = queuedBytes();
+    if (bytes >= muchQueued)
+        bytes = m_queue.capacity() + m_inFlight.capacity() + sourceBytes;
+    m_connections->addAnswerBytes(*m_connection, static_cast<std::ptrdiff_t>(bytes)
+                                                     - static_cast<std::ptrdiff_t>(m_countedBytes));
+    m_countedBytes = bytes;
 }
 
 std::size_t H2oResponder::queuedBytes() const
@@ -241,6 +291,11 @@
     return m_queue.size() + m_inFlight.size();
 }
 
+std::size_t H2oResponder::queueLimit() const
+{
+    return m_connections ? m_connections->queueLimit() : Responder::queueLimit();
+}
+
 void H2oResponder::whenDrained(std::function<void()> function)
 {
     m_onDrained = std::move(function);
--- a/src/framework/http/internal/responder.h
+++ b/src/framework/http/internal/responder.h
@@ -11,6 +11,12 @@
 
 namespace acaciasail::http {
 
+class CallerConnections;
+struct CallerConnection;
+
+/// The standard phrase for a status.
+const char *reasonOf(int status);
+
 /// The answer to a request of h2o's. It stays valid when h2o has freed the request.
 class H2oResponder : public Responder, public std::enable_shared_from_this<H2oResponder>
 {
@@ -23,8 +29,8 @@
     /// Calls the function once, when the answer is finished or its caller has gone.
     void setOnEnd(std::function<void()> function) { m_onEnd = std::move(function); }
     /// Arranges to be told when h2o frees the request, which is when its last byte was sent. Until
-    /// then its answer counts in `unsentAnswers`.
-    void attach(std::shared_ptr<std::size_t> unsentAnswers);
+    /// then what is held for it counts with its connection.
+    void attach(std::shared_ptr<CallerConnections> connections);
 
     void send(int status, const Headers &headers, std::string_view body) override;
     void start(int status, const Headers &headers) override;
@@ -32,6 +38,7 @@
     void finish() override;
     void abort() override;
     std::size_t queuedBytes() const override;
+    std::size_t queueLimit() const override;
     void whenDrained(std::function<void()> function) override;
     void whenClosed(std::function<void()> function) override;
     bool closed() const override { return m_request == nullptr; }
@@ -60,13 +67,19 @@
     struct Attachment
     {
         std::weak_ptr<H2oResponder> responder;
-        std::shared_ptr<std::size_t> unsentAnswers;
+        std::shared_ptr<CallerConnections> connections;
+        std::shared_ptr<CallerConnection> connection;
+        // Bytes of the request's body, and of the answer's end that h2o has copied.
+        std::size_t bodyBytes;
+        std::size_t endBytes;
     };
 
     static void onDispose(void *memory);
 
     void setHead(int status, const Headers &headers);
     void pump();
+    // Counts what is queued now with the connection.
+    void countQueue();
     void sendFinal(h2o_send_state_t state);
     void end();
 
@@ -78,6 +91,10 @@
     std::shared_ptr<H2oResponder> m_self;
     std::string m_queue;
     std::string m_inFlight;
+    std::shared_ptr<CallerConnections> m_connections;
+    std::shared_ptr<CallerConnection> m_connection;
+    Attachment *m_attachment = nullptr;
+    std::size_t m_countedBytes = 0;
     bool m_started = false;
     bool m_sending = false;
     bool m_finishing = false;
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cctype>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -12,6 +11,7 @@
 #include <unistd.h>
 
 #include "http/internal/address.h"
+#include "http/internal/callerconnections.h"
 #include "http/internal/errorfilter.h"
 #include "http/internal/h2oheaders.h"
 #include "http/internal/responder.h"
@@ -26,6 +26,8 @@
 constexpr std::chrono::milliseconds hangUpCheckInterval{ 100 };
 // Requests that finish sooner than this are not checked.
 constexpr std::chrono::milliseconds hangUpCheckAge{ 50 };
+// How often the times of callers' connections are checked.
+constexpr std::chrono::milliseconds timeCheckInterval{ 500 };
 
 std::string toText(h2o_iovec_t buffer)
 {
@@ -72,12 +74,6 @@
         Impl *server;
     };
 
-    struct Connection
-    {
-        Impl *server;
-        h2o_socket_t *socket;
-    };
-
     struct InProgress
     {
         std::shared_ptr<H2oResponder> responder;
@@ -88,6 +84,12 @@
         : loop(eventLoop)
         , options(std::move(serverOptions))
         , handler(std::move(requestHandler))
+        , connections(std::make_shared<CallerConnections>(
+              loop, options,
+              [this](const ServerRequest &request, std::shared_ptr<Responder> responder) {
+                  if (handler)
+                      handler(request, std::move(responder));
+              }))
     {}
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
@@ -98,6 +100,7 @@
     void accept();
     int onRequest(h2o_req_t *request);
     void checkHangUps();
+    void checkTimes();
     void closeListener();
     void closeConnections();
 
@@ -110,13 +113,12 @@
     h2o_accept_ctx_t acceptContext{};
     h2o_socket_t *listener = nullptr;
     kernel::Endpoint endpoint;
-    std::unordered_set<Connection *> connections;
+    std::shared_ptr<CallerConnections> connections;
     // Requests that are not answered whole. The server keeps their responders, so that a handler
     // that drops one does not leave its request open.
     std::unordered_map<H2oResponder *, InProgress> inProgress;
-    // Shared, as h2o may free a request after the server has gone.
-    std::shared_ptr<std::size_t> unsentAnswers = std::make_shared<std::size_t>(0);
     kernel::Timer hangUpTimer;
+    kernel::Timer timeCheckTimer;
     std::uint64_t accepted = 0;
 };
 
@@ -158,6 +160,7 @@
             static_cast<Impl *>(socket->data)->accept();
     });
     hangUpTimer = kernel::Timer(loop.scheduler(), hangUpCheckInterval, [this] { checkHangUps(); });
+    checkTimes();
 }
 
 void Server::Impl::accept()
@@ -167,20 +170,17 @@
         h2o_socket_t *socket = h2o_evloop_socket_accept(listener);
         if (socket == nullptr)
             return;
-        if (connections.size() >= options.maxConnections) {
+        if (!connections->makeRoom()) {
             h2o_socket_close(socket);
             continue;
         }
         ++accepted;
-        setConnectionTimeouts(h2o_socket_get_fd(socket));
-        auto *connection = new Connection{ this, socket };
-        connections.insert(connection);
-        socket->on_close.data = connection;
-        socket->on_close.cb = [](void *data) {
-            const std::unique_ptr<Connection> closed(static_cast<Connection *>(data));
-            closed->server->connections.erase(closed.get());
-        };
+        setCallerTimeouts(h2o_socket_get_fd(socket));
+        if (options.memoryBytes > 0)
+            limitCallerBuffers(h2o_socket_get_fd(socket));
+        connections->add(socket);
         h2o_accept(&acceptContext, socket);
+        connections->watch(socket);
     }
 }
 
@@ -189,13 +189,13 @@
     const auto responder = std::make_shared<H2oResponder>(request);
     if (!handler) {
         // The server is ending, and nobody would answer.
-        responder->attach(unsentAnswers);
+        responder->attach(connections);
         responder->abort();
         return 0;
     }
     H2oResponder *key = responder.get();
     responder->setOnEnd([this, key] { inProgress.erase(key); });
-    responder->attach(unsentAnswers);
+    responder->attach(connections);
     inProgress.emplace(key, InProgress{ responder, loop.scheduler().now() });
     handler(readRequest(request), responder);
     return 0;
@@ -229,6 +229,12 @@
     hangUpTimer = kernel::Timer(loop.scheduler(), hangUpCheckInterval, [this] { checkHangUps(); });
 }
 
+void Server::Impl::checkTimes()
+{
+    connections->checkTimes();
+    timeCheckTimer = kernel::Timer(loop.scheduler(), timeCheckInterval, [this] { checkTimes(); });
+}
+
 void Server::Impl::closeListener()
 {
     if (listener != nullptr)
@@ -244,9 +250,9 @@
     for (const auto &responder : responders)
         responder->abort();
     constexpr int maxTurns = 100;
-    for (int turn = 0; turn < maxTurns && !connections.empty(); ++turn) {
-        for (const Connection *connection : connections)
-            shutdown(h2o_socket_get_fd(connection->socket), SHUT_RDWR);
+    for (int turn = 0; turn < maxTurns && connections->size() > 0; ++turn) {
+        for (const int descriptor : connections->descriptors())
+            shutdown(descriptor, SHUT_RDWR);
         h2o_evloop_run(loop.native(), 1);
     }
 }
@@ -254,11 +260,12 @@
 Server::Impl::~Impl()
 {
     handler = nullptr;
+    connections->stop();
     closeListener();
     if (context.loop == nullptr)
         return;
     closeConnections();
-    if (!connections.empty())
+    if (connections->size() > 0)
         return;
     // h2o leaves the entry of a graceful shutdown linked, and asserts that it is not.
     if (h2o_timeout_is_linked(&context.http2._graceful_shutdown_timeout) != 0)
@@ -303,11 +310,14 @@
     endConnectionsAfterAnswers();
 }
 
-void Server::setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout)
+void Server::setLimits(const RequestLimits &limits)
 {
-    m_impl->config.max_request_entity_size = maxBodyBytes;
+    m_impl->options.maxHeadBytes = limits.maxHeadBytes;
+    m_impl->options.headTimeout = limits.headTimeout;
+    m_impl->options.maxBodyBytes = limits.maxBodyBytes;
+    m_impl->config.max_request_entity_size = limits.maxBodyBytes;
     m_impl->context.http1.req_timeout.timeout
-        = static_cast<std::uint64_t>(kernel::toMilliseconds(requestTimeout));
+        = static_cast<std::uint64_t>(kernel::toMilliseconds(limits.requestTimeout));
 }
 
 void Server::endConnectionsAfterAnswers()
@@ -322,12 +332,22 @@
 
 std::size_t Server::unsentAnswers() const
 {
-    return *m_impl->unsentAnswers;
+    return m_impl->connections->unsentAnswers();
 }
 
 std::size_t Server::connections() const
 {
-    return m_impl->connections.size();
+    return m_impl->connections->size();
+}
+
+std::size_t Server::heldBytes() const
+{
+    return m_impl->connections->heldBytes();
+}
+
+const CallerCounts &Server::callerCounts() const
+{
+    return m_impl->connections->counts();
 }
 
 std::uint64_t Server::connectionsAccepted() const
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,8 @@
 
     /// Bytes queued that the connection has not taken yet.
     virtual std::size_t queuedBytes() const = 0;
+    /// Bytes that may be queued without harm to other callers; the writer waits above it.
+    virtual std::size_t queueLimit() const { return std::numeric_limits<std::size_t>::max(); }
     /// Calls the function once when the queue has emptied.
     virtual void whenDrained(std::function<void()> function) = 0;
     /// Calls the function once if the caller goes before the answer's end.
@@ -55,14 +58,50 @@
     std::size_t maxBodyBytes = 8U << 20U;
     /// Time for a request to arrive whole.
     kernel::Duration requestTimeout = std::chrono::seconds(30);
-    /// Connections at the same time; further ones are closed at once.
+    /// Connections at the same time. For further ones, those are closed that have sent no request
+    /// or read nothing for longest; without any, the further ones are.
     std::size_t maxConnections = 20000;
+    /// Bytes held for all callers together, above which connections are closed; 0 for no limit. One
+    /// request with the largest body is always within it.
+    std::size_t memoryBytes = 0;
+    /// Bytes of a request's head above which it is refused with 431; 0 for the library's limit.
+    std::size_t maxHeadBytes = 0;
+    /// Time for a request's head to arrive; zero for that of the whole request.
+    kernel::Duration headTimeout{};
+    /// Whether the body of a request with this head is of use. If not, the handler gets the request
+    /// without its body, must answer at once, and the body is not kept. Empty: all are.
+    std::function<bool(const ServerRequest &head)> acceptsBody;
     /// Body of the answers that the server gives by itself, such as 400 to a malformed request;
     /// empty for plain text.
     std::function<std::string(int status)> errorBody;
     std::string errorContentType = "application/json";
 };
 
+/// Limits of what callers send.
+struct RequestLimits
+{
+    std::size_t maxHeadBytes = 0;
+    std::size_t maxBodyBytes = 0;
+    kernel::Duration headTimeout{};
+    kernel::Duration requestTimeout{};
+};
+
+/// What a server did to stay within its limits, counted since its start.
+struct CallerCounts
+{
+    /// Connections closed because too much memory was held, to make room for others, because a
+    /// request was late, and because the caller was gone.
+    std::uint64_t closedForMemory = 0;
+    std::uint64_t closedForRoom = 0;
+    std::uint64_t closedForTime = 0;
+    std::uint64_t closedAsGone = 0;
+    /// Requests refused before they had arrived whole.
+    std::uint64_t refusedHeads = 0;
+    std::uint64_t refusedBodies = 0;
+
+    friend bool operator==(const CallerCounts &, const CallerCounts &) = default;
+};
+
 /// An HTTP/1.1 and HTTP/2 server on the loop.
 class Server
 {
@@ -79,7 +118,7 @@
     /// Closes the listener and asks connections to end; requests in progress are finished.
     void beginShutdown();
     /// Changes the limits of requests from now on.
-    void setLimits(std::size_t maxBodyBytes, kernel::Duration requestTimeout);
+    void setLimits(const RequestLimits &limits);
     /// Answers end their connections from now on; new connections are still taken.
     void endConnectionsAfterAnswers();
     /// Requests whose answers are not finished.
@@ -87,6 +126,9 @@
     /// Requests whose answers have not left the process whole, whether finished or not.
     std::size_t unsentAnswers() const;
     std::size_t connections() const;
+    /// Bytes held for callers.
+    std::size_t heldBytes() const;
+    const CallerCounts &callerCounts() const;
     /// Connections taken since the start.
     std::uint64_t connectionsAccepted() const;
 
--- a/src/framework/http/internal/socketoptions.cpp
+++ b/src/framework/http/internal/socketoptions.cpp
@@ -13,10 +13,13 @@
 constexpr int keepAliveProbes = 2;
 constexpr unsigned int unacknowledgedMilliseconds = 3000;
 constexpr int receiveBufferBytes = 64 << 10;
+constexpr int callerReceiveBytes = 32 << 10;
+constexpr int callerSendBytes = 128 << 10;
+// Repetitions of sent bytes, or questions for room, that a peer leaves without any answer.
+constexpr int unansweredRepeats = 3;
+constexpr int unansweredProbes = 2;
 
-} // namespace
-
-void setConnectionTimeouts(int fd)
+void setKeepAlive(int fd)
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -25,10 +28,46 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds,
                sizeof keepAliveIntervalSeconds);
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
+}
+
+bool readTcpInfo(int fd, tcp_info &info)
+{
+    socklen_t length = sizeof info;
+    return getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &length) == 0;
+}
+
+} // namespace
+
+void setConnectionTimeouts(int fd)
+{
+    setKeepAlive(fd);
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unacknowledgedMilliseconds,
                sizeof unacknowledgedMilliseconds);
 }
 
+void setCallerTimeouts(int fd)
+{
+    tcp_info info{};
+    if (readTcpInfo(fd, info))
+        setKeepAlive(fd);
+    else
+        setConnectionTimeouts(fd);
+}
+
+bool isPeerGone(int fd)
+{
+    tcp_info info{};
+    if (!readTcpInfo(fd, info) || info.tcpi_last_ack_recv < unacknowledgedMilliseconds)
+        return false;
+    return info.tcpi_retransmits >= unansweredRepeats || info.tcpi_probes >= unansweredProbes;
+}
+
+void limitCallerBuffers(int fd)
+{
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &callerReceiveBytes, sizeof callerReceiveBytes);
+    setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &callerSendBytes, sizeof callerSendBytes);
+}
+
 void limitReceiveBuffer(int fd)
 {
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
--- a/src/framework/http/internal/socketoptions.h
+++ b/src/framework/http/internal/socketoptions.h
@@ -6,6 +6,17 @@
 /// small pieces at once.
 void setConnectionTimeouts(int fd);
 
+/// The same for a connection on which bytes may wait for a slow reader: a peer that answers without
+/// taking any is not ended. isPeerGone() finds one that is gone while bytes wait for it.
+void setCallerTimeouts(int fd);
+
+/// Whether bytes wait for the peer and nothing has come from it for about three seconds, although
+/// it was asked several times.
+bool isPeerGone(int fd);
+
+/// Bounds what the system holds for a caller's connection in both directions.
+void limitCallerBuffers(int fd);
+
 /// Bounds the bytes that the system holds for a connection until they are read, and so the bytes
 /// that come with one read.
 void limitReceiveBuffer(int fd);
