--- a/src/app/router/routersettings.h
+++ b/src/app/router/routersettings.h
@@ -21,6 +21,8 @@
     /// Whether the routers of a data centre may read what the store holds from each other.
     bool storeRelays = true;
     std::size_t maxConnections = 0;
+    /// Bytes held for callers above which their connections are closed.
+    std::size_t callerMemoryBytes = 64U << 20U;
     /// Maximum time from SIGTERM to the exit of the process.
     kernel::Duration stopTimeout{};
     /// Time after SIGTERM in which the load balancer may still send new connections.
