--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -20,7 +20,9 @@
 // The process may exit once no request has been in progress for this time.
 constexpr kernel::Duration drainIdleTime = std::chrono::milliseconds(200);
 // Enough for the open calls of the other routers of a data centre.
-constexpr std::size_t maxInternalConnections = 300;
+constexpr std::size_t maxRelayConnections = 300;
+// Enough for the answers that they read at the same time.
+constexpr std::size_t relayMemoryBytes = 6U << 20U;
 // Part of the stop timeout that is reserved for the exit of the process itself, and the part before
 // it in which the requests that are still running get a final response.
 constexpr kernel::Duration exitMargin = std::chrono::milliseconds(250);
@@ -144,7 +146,8 @@
     metrics.listen = m_settings.metricsListen;
     limitInternalServer(metrics);
     metrics.acceptsBody = [](const http::ServerRequest &head) { return head.method == "POST"; };
-    metrics.maxConnections = maxInternalConnections;
+    metrics.maxConnections = maxRelayConnections;
+    metrics.memoryBytes = relayMemoryBytes;
     BOOST_LEAF_ASSIGN(
         m_metricsServer,
         http::Server::listen(m_loop, metrics,
