A request goes where its work fits: expected cost, remaining work, least expected finish

Change: with 24 upstreams or more, the least expected finish of a few candidates decides; cost, caches and speeds are learned; others' work comes from WorkReport (setOthersWork, shareWork) and from load reports. Lanes don't apply there.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -14,6 +14,7 @@
 constexpr kernel::Duration tickInterval = std::chrono::milliseconds(100);
 // Interval at which the shares of limited upstreams are computed anew.
 constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
+constexpr kernel::Duration workShareInterval = std::chrono::milliseconds(250);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
 // Routers request the same step one after the other, so that usually only one of them writes.
@@ -75,6 +76,7 @@
     , m_shareCrashes(std::move(callbacks.shareCrashEvidence))
     , m_publishLimitReport(std::move(callbacks.publishLimitReport))
     , m_removeLimitReport(std::move(callbacks.removeLimitReport))
+    , m_shareWork(std::move(callbacks.shareWork))
     , m_onConfiguration(std::move(callbacks.onConfiguration))
 {
     m_state.limitSharing
@@ -275,6 +277,7 @@
     probeUnreachable();
     reviewCrashes();
     reviewLimits();
+    shareWork();
     reviewRollouts();
     armTick();
 }
@@ -295,6 +298,24 @@
     applyLimits(m_state);
 }
 
+void Forwarder::shareWork()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    if (!m_shareWork || now - m_workSharedAt < workShareInterval)
+        return;
+    WorkReport report = ownWork(m_state);
+    if (report == m_sharedWork)
+        return;
+    m_workSharedAt = now;
+    m_sharedWork = std::move(report);
+    m_shareWork(m_sharedWork);
+}
+
+void Forwarder::setOthersWork(const WorkReport &report)
+{
+    applyOthersWork(m_state, report);
+}
+
 void Forwarder::setLimitReports(const std::map<kernel::VmId, LimitReport> &reports)
 {
     onLimitsEnded(replaceReports(m_state.limitSharing, reports, m_state.scheduler.now()));
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -40,6 +40,8 @@
     LimitReportPublisher publishLimitReport;
     /// May be empty if `publishLimitReport` is.
     LimitReportRemover removeLimitReport;
+    /// May be empty: this router then knows only its own work in flight.
+    WorkReportSharer shareWork;
     /// Called when a configuration comes into force.
     std::function<void(const Configuration &)> onConfiguration;
 };
@@ -80,6 +82,8 @@
     /// Records one router's report on rate limits.
     void setLimitReport(const kernel::VmId &vm, const LimitReport &report);
     void dropLimitReport(const kernel::VmId &vm);
+    /// Replaces what the other routers have in flight.
+    void setOthersWork(const WorkReport &report);
 
     /// Refuses new requests that might still run at `end`; requests in progress continue.
     /// `onlyReadyRouter` tells that callers can reach no other router until this one is back.
@@ -107,6 +111,7 @@
     void reviewCrashes();
     void reviewBlamedParts();
     void reviewLimits();
+    void shareWork();
     void onLimitsEnded(const std::vector<kernel::UpstreamId> &processes);
     void endCrashingRequests();
     std::vector<std::shared_ptr<Job>> copyJobs() const;
@@ -130,6 +135,9 @@
     LimitReportPublisher m_publishLimitReport;
     LimitReportRemover m_removeLimitReport;
     kernel::Instant m_limitsAppliedAt{};
+    WorkReportSharer m_shareWork;
+    WorkReport m_sharedWork;
+    kernel::Instant m_workSharedAt{};
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
     std::map<kernel::ServiceName, kernel::Instant> m_rolloutWriteDueAt;
--- a/src/forwarding/internal/placement/engineload.cpp
+++ b/src/forwarding/internal/placement/engineload.cpp
@@ -20,13 +20,17 @@
 // Number of requests that is added to the load of an engine whose memory is full.
 constexpr double memoryFullPenaltyRequests = 12;
 
-double loadOf(const EngineLoad &load)
+double memoryPenalty(const EngineLoad &load)
 {
-    const double requests = load.running + queuedWeight * load.queued;
     const bool full = load.memoryTotal > 0
                       && static_cast<double>(load.memoryUsed)
                              > memoryFullFraction * static_cast<double>(load.memoryTotal);
-    return requests + (full ? memoryFullPenaltyRequests : 0);
+    return full ? memoryFullPenaltyRequests : 0;
+}
+
+double loadOf(const EngineLoad &load)
+{
+    return load.running + queuedWeight * load.queued + memoryPenalty(load);
 }
 
 double loadOf(const QueriedEngine &engine)
@@ -36,6 +40,11 @@
 
 } // namespace
 
+double promptsAhead(const EngineLoad &load)
+{
+    return load.queued + load.running / queuedWeight + memoryPenalty(load) / queuedWeight;
+}
+
 void recordLoad(AverageLoad &average, const EngineLoad &load)
 {
     average.weightedRequests += averageWeight * (loadOf(load) - average.weightedRequests);
--- a/src/forwarding/internal/placement/engineload.h
+++ b/src/forwarding/internal/placement/engineload.h
@@ -44,6 +44,10 @@
 /// be queried.
 bool hasSpareCapacity(const AverageLoad &average, const EngineLoad &load);
 
+/// Returns the work that the report shows, as a number of prompts that have yet to be read: queued
+/// requests, a part of the running ones, and a penalty for a full memory.
+double promptsAhead(const EngineLoad &load);
+
 /// An engine that was queried for its load. Engines are listed in the order of preference.
 struct QueriedEngine
 {
--- a/src/forwarding/internal/placement/upstreamchoice.cpp
+++ b/src/forwarding/internal/placement/upstreamchoice.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/internal/placement/finishchoice.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -166,6 +168,8 @@
         return "affinity";
     case ChoiceReason::LeastLoaded:
         return "least_loaded";
+    case ChoiceReason::ExpectedFinish:
+        return "expected_finish";
     case ChoiceReason::ReportedLoad:
         return "reported_load";
     case ChoiceReason::Near:
@@ -208,6 +212,8 @@
     std::vector<const Upstream *> limited = takeLimited(preferred, records);
     if (preferred.empty() || usesLimited(limited, records, query))
         return chooseLimited(limited, records, query, random);
+    if (query.finish != nullptr && preferred.size() >= minUpstreamsForFinishChoice)
+        return { chooseByFinish(preferred, records, query, random), ChoiceReason::ExpectedFinish };
     preferred = laneUpstreams(std::move(preferred), query.lane, query.longObjectiveFraction);
     return chooseByAffinityOrNear(preferred, records, query, random);
 }
--- a/src/forwarding/internal/placement/upstreamchoice.h
+++ b/src/forwarding/internal/placement/upstreamchoice.h
@@ -8,10 +8,13 @@
 
 #include "forwarding/internal/limits/upstreamnotices.h"
 #include "forwarding/internal/placement/lanes.h"
+#include "forwarding/internal/placement/upstreambacklog.h"
 #include "forwarding/internal/types.h"
 
 namespace acaciasail::forwarding {
 
+struct FinishQuery;
+
 /// What a router has recorded about one upstream from its own requests.
 struct UpstreamRecord
 {
@@ -37,6 +40,7 @@
     /// Until this time the upstream gets requests only if no other upstream can take them.
     kernel::Instant avoidUntil{};
     UpstreamNotices notices;
+    UpstreamBacklog backlog;
     /// Value of Upstream::coldFor that was applied last; a registration that is read again must not
     /// start that time anew.
     kernel::Duration appliedColdTime{};
@@ -60,6 +64,9 @@
     Lane lane = Lane::Any;
     /// Fraction of the upstreams that serve requests with long latency objectives.
     double longObjectiveFraction = 0;
+    /// Cost of the request, if it runs a model. With many upstreams, the expected finish that follows
+    /// from it decides.
+    const FinishQuery *finish = nullptr;
     /// Upstreams that must not be selected, such as those already tried.
     const std::set<kernel::UpstreamId> *exclude = nullptr;
     kernel::Instant now{};
@@ -71,6 +78,8 @@
     /// No upstream was selected by affinity key or data centre, because all of those carry too much
     /// work; the one with the least work was selected.
     LeastLoaded,
+    /// The request is expected to get its first event there earliest.
+    ExpectedFinish,
     /// The upstream reports a lower load than the upstream that would be selected otherwise.
     ReportedLoad,
     /// The upstream is in the router's data centre and has capacity.
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -131,6 +131,7 @@
     // The upstream that read the prompt for the small model is as suitable as any other.
     m_triedUpstreams.erase(m_attempt->upstream);
     review(reviewFirstByte);
+    recordFirstEventTime();
     finishAttempt(AttemptOutcome::Succeeded);
     m_retryReserved = true;
     startNextAttempt();
@@ -202,6 +203,7 @@
         m_attempt->firstByteSeen = true;
         m_attempt->firstEventAt = at;
         review(reviewFirstByte);
+        recordFirstEventTime();
     }
     m_attempt->lastActivity = at;
     if (at - m_attempt->firstEventAt >= soundWritingTime
@@ -301,6 +303,7 @@
         return;
     }
     review(reviewEnd);
+    recordOutput();
     recordCompleteResponse();
     finishAttempt(AttemptOutcome::Succeeded);
     deliverResponse();
@@ -339,6 +342,7 @@
     const auto record = m_state.records.find(m_attempt->upstream);
     if (record == m_state.records.end())
         return;
+    finishWorkInFlight(record->second, outcome);
     if (recordFinish(record->second, outcome, m_attempt->work, serviceFailureRate, now())) {
         kernel::logEvent(kernel::EventId::UpstreamEjected,
                          { { "upstream", m_attempt->upstream },
@@ -541,7 +545,9 @@
                    .model = m_model,
                    .sends = m_attempts.sent,
                    .mayHaveRun = m_attempts.mayHaveRun,
-                   .firstByteAt = m_firstByteAt });
+                   .firstByteAt = m_firstByteAt,
+                   .expectedFirstMs = m_expectedFirstMs,
+                   .actualFirstMs = m_actualFirstMs });
     const auto onDone = std::move(m_onDone);
     onDone(this);
 }
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -52,6 +52,10 @@
         std::string model;
         // Expected work in units of one prompt token; 1 without a model.
         double work = 1;
+        // Number of the work in flight at the upstream; 0 without a model.
+        std::uint64_t workNumber = 0;
+        ExpectedFinish expected;
+        bool firstEventRecorded = false;
         kernel::Instant startedAt{};
         kernel::Instant lastActivity{};
         bool sent = false;
@@ -98,9 +102,19 @@
     void queryNextLoad();
     void onLoad(const kernel::Completion<EngineLoad> &outcome);
     void startAtLeastLoaded();
+    std::size_t earliestFinish(const std::vector<LoadQuery> &queries) const;
     Attempt makeAttempt(const Upstream &upstream) const;
     AttemptContext makeAttemptContext(const Upstream &upstream) const;
     void logChoice(const UpstreamChoice &choice) const;
+    CostKey costKey() const;
+    // Computes the request's cost for the model in use.
+    void estimateCost();
+    ExpectedFinish expectedFinishAt(const Upstream &upstream) const;
+    void startWorkAt(const Upstream &upstream);
+    // Records the time to the first event of the attempt in progress, once.
+    void recordFirstEventTime();
+    void recordOutput();
+    void finishWorkInFlight(UpstreamRecord &record, AttemptOutcome outcome);
     void startAttempt(const UpstreamChoice &choice);
     void onSent();
     void onHead(const http::ClientHead &clientHead);
@@ -172,6 +186,12 @@
     std::optional<StreamEventId> m_lastEventId;
     EventFault m_eventFault = EventFault::None;
     std::string m_model;
+    FinishQuery m_finish;
+    CostRates m_rates;
+    // Expected and actual time from the start of the last attempt to the first event; -1 if there is
+    // none.
+    double m_expectedFirstMs = -1;
+    double m_actualFirstMs = -1;
     std::string m_lastUpstream;
     kernel::Instant m_firstByteAt{};
     // Number of attempts whose connection failed.
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -63,6 +63,10 @@
     query.lane = m_plan.lane;
     query.longObjectiveFraction = longObjectiveFraction(m_state.laneWork[m_plan.service]);
     query.now = now();
+    if (m_request.work) {
+        estimateCost();
+        query.finish = &m_finish;
+    }
     const auto choices
         = selectUpstreams(reachableCandidates(m_state, m_plan.service, version), query);
     if (choices.empty())
@@ -165,6 +169,7 @@
 void Job::logChoice(const UpstreamChoice &choice) const
 {
     const Upstream &upstream = *choice.upstream;
+    const ExpectedFinish expected = expectedFinishAt(upstream);
     kernel::logEvent(kernel::EventId::UpstreamChosen,
                      { { "request", m_request.id },
                        { "route", m_plan.route.name },
@@ -174,6 +179,9 @@
                        { "reason", toString(choice.reason) },
                        { "lane", toString(m_plan.lane) },
                        { "in_flight", m_state.records[upstream.id].inFlight },
+                       { "expected_first_ms", expected.firstMs },
+                       { "ahead_ms", expected.aheadMs },
+                       { "speed", expected.speed },
                        { "send", m_attempts.sent + 1 },
                        { "session", m_plan.affinityKey },
                        { "left_ms", kernel::toMilliseconds(timeLeft()) } });
@@ -200,6 +208,7 @@
     m_triedUpstreams.insert(upstream.id);
     m_lastUpstream = upstream.id.str();
     recordStart(record, m_attempt->work);
+    startWorkAt(upstream);
     if (record.notices.pace)
         recordPacedRequest(*record.notices.pace, now());
     m_splitter.reset();
--- a/src/forwarding/internal/request/jobwaiting.cpp
+++ b/src/forwarding/internal/request/jobwaiting.cpp
@@ -29,7 +29,8 @@
 
 std::size_t Job::enginesToQuery(std::size_t candidates) const
 {
-    if (!m_request.work || !m_state.readLoad || candidates < minEnginesForQueries)
+    if (!m_request.work || !m_state.readLoad || candidates < minEnginesForQueries
+        || knowsOthersWork(m_state))
         return 1;
     const auto lateRequestRates = m_state.lateRequestRates.find(m_plan.service);
     if (lateRequestRates == m_state.lateRequestRates.end()
@@ -72,6 +73,10 @@
         AverageLoad &average = m_state.averageLoads[m_plan.service];
         hasCapacity = hasSpareCapacity(average, *query.load);
         recordLoad(average, *query.load);
+        recordReportedWork(m_state.records[query.upstream.id].backlog,
+                           promptsAhead(*query.load)
+                               * m_state.costEstimates.services[m_plan.service].meanReadMs,
+                           now());
     } else {
         m_state.upstreamsToProbe.insert(query.upstream.id);
     }
@@ -90,11 +95,27 @@
             { m_loadQueries[i].load, m_state.records[m_loadQueries[i].upstream.id].inFlight });
     }
     const std::vector<LoadQuery> loadQueries = std::exchange(m_loadQueries, {});
-    const std::size_t chosen = chooseByLoad(engines);
+    const bool byFinish = loadQueries.front().reason == ChoiceReason::ExpectedFinish;
+    const std::size_t chosen = byFinish ? earliestFinish(loadQueries) : chooseByLoad(engines);
     const LoadQuery &best = loadQueries[chosen];
     startAttempt({ &best.upstream, chosen == 0 ? best.reason : ChoiceReason::ReportedLoad });
 }
 
+// Engines that gave no report are used last.
+std::size_t Job::earliestFinish(const std::vector<LoadQuery> &queries) const
+{
+    std::size_t best = 0;
+    double bestMs = 0;
+    for (std::size_t i = 0; i < queries.size(); ++i) {
+        const double ms = expectedFinishAt(queries[i].upstream).firstMs;
+        if (queries[i].load && (!queries[best].load || i == best || ms < bestMs)) {
+            best = i;
+            bestMs = ms;
+        }
+    }
+    return best;
+}
+
 kernel::Duration Job::currentInactivityTimeout() const
 {
     return inactivityTimeout(m_state.latencyEstimates, m_plan.route, m_attempt->model,
--- a/src/forwarding/internal/request/requestreport.cpp
+++ b/src/forwarding/internal/request/requestreport.cpp
@@ -79,6 +79,8 @@
           { "store_away", state.directory.storeUnreachable },
           { "first_ms",
             hasFirstByte ? kernel::toMilliseconds(summary.firstByteAt - request.arrived) : -1 },
+          { "expected_event_ms", summary.expectedFirstMs },
+          { "event_ms", summary.actualFirstMs },
           { "took_ms", kernel::toMilliseconds(now - request.arrived) } });
 }
 
--- a/src/forwarding/internal/request/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -20,6 +20,10 @@
     bool mayHaveRun = false;
     /// Zero if the caller got no first byte.
     kernel::Instant firstByteAt{};
+    /// Expected and actual time from the start of the last attempt to its first event, in
+    /// milliseconds; -1 if there is none.
+    double expectedFirstMs = -1;
+    double actualFirstMs = -1;
 };
 
 /// Returns the ids of the first of these parts, separated by commas, for a log line.
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -1,6 +1,7 @@
 #include "forwarding/internal/state.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace acaciasail::forwarding {
 
@@ -14,6 +15,10 @@
 constexpr kernel::Duration minConnectTimeout = std::chrono::milliseconds(50);
 // A request is refused during shutdown unless it will probably finish this long before the exit.
 constexpr kernel::Duration exitDeadlineMargin = std::chrono::milliseconds(100);
+// Reports on other routers' work come about twice a second.
+constexpr kernel::Duration othersWorkValidity = std::chrono::seconds(2);
+// Work in flight is reported in steps of this size, so that small changes are not sent.
+constexpr double reportStepMs = 5;
 
 } // namespace
 
@@ -55,6 +60,14 @@
                             { { "what", std::string(kind) } });
 }
 
+metrics::Counter &ForwardingMetrics::firstEventEstimates(const std::string &route,
+                                                         std::string_view error)
+{
+    return registry.counter("acaciasail_first_event_estimates_total",
+                            "Estimates of the time to a stream's first event by their error",
+                            { { "route", route }, { "error", std::string(error) } });
+}
+
 metrics::TimeHistogram &ForwardingMetrics::firstByte(const std::string &kind)
 {
     return registry.histogram("acaciasail_first_byte_seconds",
@@ -134,6 +147,42 @@
     return counts;
 }
 
+WorkReport ownWork(const ForwardingState &state)
+{
+    const kernel::Instant now = state.scheduler.now();
+    std::map<kernel::ServiceName, std::size_t> upstreams;
+    for (const auto &[id, known] : state.directory.upstreams)
+        ++upstreams[known.entry.service];
+    WorkReport report;
+    for (const auto &[id, known] : state.directory.upstreams) {
+        const auto record = state.records.find(id);
+        if (record == state.records.end()
+            || upstreams[known.entry.service] < minUpstreamsForFinishChoice)
+            continue;
+        const double ms = std::round(ownRemainingMs(record->second.backlog, now) / reportStepMs);
+        if (ms > 0)
+            report.remainingMs[processIdOf(known.entry)] = ms * reportStepMs;
+    }
+    return report;
+}
+
+void applyOthersWork(ForwardingState &state, const WorkReport &report)
+{
+    const kernel::Instant now = state.scheduler.now();
+    state.othersWorkAt = now;
+    for (const auto &[id, known] : state.directory.upstreams) {
+        UpstreamBacklog &backlog = state.records[id].backlog;
+        const auto work = report.remainingMs.find(processIdOf(known.entry));
+        backlog.othersMs = work == report.remainingMs.end() ? 0 : std::max(work->second, 0.0);
+        backlog.othersAt = now;
+    }
+}
+
+bool knowsOthersWork(const ForwardingState &state)
+{
+    return state.othersWorkAt && state.scheduler.now() - *state.othersWorkAt < othersWorkValidity;
+}
+
 void recordConnectTime(ForwardingState &state, kernel::Duration connectTime)
 {
     state.slowestConnectTime
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -9,10 +9,14 @@
 #include "forwarding/internal/directory.h"
 #include "forwarding/internal/limits/limitsharing.h"
 #include "forwarding/internal/limits/retrybudget.h"
+#include "forwarding/internal/placement/costestimate.h"
 #include "forwarding/internal/placement/engineload.h"
+#include "forwarding/internal/placement/finishchoice.h"
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
+#include "forwarding/internal/placement/promptholders.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
+#include "forwarding/internal/placement/workreport.h"
 #include "forwarding/internal/request/inactivitytimeout.h"
 #include "forwarding/internal/rollouts/rolloutplan.h"
 #include "metrics/metrics.h"
@@ -61,6 +65,7 @@
     metrics::Counter &crashes();
     metrics::Counter &blamedParts();
     metrics::Counter &notices(std::string_view kind);
+    metrics::Counter &firstEventEstimates(const std::string &route, std::string_view error);
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &responseTime(const std::string &kind);
 };
@@ -92,6 +97,12 @@
     TightestObjectives tightestObjectives;
     std::map<kernel::ServiceName, LaneWork> laneWork;
     std::map<kernel::ServiceName, AverageLoad> averageLoads;
+    CostEstimates costEstimates;
+    SentPrompts sentPrompts;
+    /// Number of the newest work in flight; see WorkInFlight.
+    std::uint64_t lastWorkNumber = 0;
+    /// Time of the newest report on other routers' work; not set before the first.
+    std::optional<kernel::Instant> othersWorkAt;
     LatencyEstimates latencyEstimates;
     std::map<kernel::ServiceName, LateRequestRate> lateRequestRates;
     std::map<kernel::ServiceName, RetryBudget> retryBudgets;
@@ -130,6 +141,16 @@
 /// version, then the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
+/// Returns this router's remaining work at the upstreams of services that have many.
+WorkReport ownWork(const ForwardingState &state);
+
+/// Applies what the other routers have in flight.
+void applyOthersWork(ForwardingState &state, const WorkReport &report);
+
+/// Returns whether other routers' work is known well enough that upstreams need not be queried for
+/// their load.
+bool knowsOthersWork(const ForwardingState &state);
+
 /// Records the time that a connect took; 0 if a kept-alive connection was used.
 void recordConnectTime(ForwardingState &state, kernel::Duration connectTime);
 
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -207,6 +207,8 @@
     /// Parts of the prompt in their order. The last part usually belongs to this request alone, the
     /// part before it to the request's session.
     std::vector<PromptPart> parts;
+    /// The caller's estimate of the number of output tokens, if it gave one.
+    std::optional<std::int64_t> expectedOutputTokens;
 };
 
 /// A request as this library sees it, independent of the caller's protocol.
--- a/src/forwarding/tests/engineload_tests.cpp
+++ b/src/forwarding/tests/engineload_tests.cpp
@@ -37,6 +37,7 @@
             return std::make_unique<http::Exchange>();
         };
         callbacks.wire = makeTestWire();
+        callbacks.shareWork = [this](const WorkReport &own) { shared.push_back(own); };
         forwarder = std::make_unique<Forwarder>(base.clock.scheduler(), std::move(callbacks),
                                                 ForwardingOptions{}, kernel::Random(1));
         forwarder->setConfiguration(base.makeConfiguration(1), kernel::Revision(1));
@@ -76,6 +77,7 @@
     ForwarderFixture base;
     FakeHttp http;
     std::vector<PendingQuery> queries;
+    std::vector<WorkReport> shared;
     std::unique_ptr<Forwarder> forwarder;
 };
 
@@ -169,3 +171,44 @@
     fixture.base.clock.advance(1s);
     EXPECT_TRUE(fixture.http.sends.empty());
 }
+
+TEST(WorkSharingTest, WorkInFlightIsSharedWhenItChanges)
+{
+    LoadQueryFixture fixture;
+    fixture.base.clock.advance(1s);
+    EXPECT_TRUE(fixture.shared.empty()) << "nothing is in flight";
+    const auto caller = fixture.sendRequest(50'000);
+    fixture.base.clock.advance(1s);
+    ASSERT_EQ(fixture.shared.size(), 1U) << "an unchanged report is sent once";
+    ASSERT_EQ(fixture.shared.front().remainingMs.size(), 1U);
+    EXPECT_GT(fixture.shared.front().remainingMs.begin()->second, 100);
+    fixture.http.last().reportSent();
+    fixture.http.last().respond(200, "ok");
+    fixture.base.clock.advance(1s);
+    ASSERT_EQ(fixture.shared.size(), 2U);
+    EXPECT_TRUE(fixture.shared.back().remainingMs.empty());
+}
+
+TEST(WorkSharingTest, UpstreamsWithOthersWorkGetNoRequests)
+{
+    LoadQueryFixture fixture;
+    fixture.makeBusy();
+    WorkReport report;
+    std::set<std::string> loaded;
+    for (const auto &[id, known] : fixture.forwarder->state().directory.upstreams) {
+        if (loaded.size() < 15) {
+            loaded.insert(known.entry.endpoint.ip + std::to_string(known.entry.endpoint.port));
+            report.remainingMs[processIdOf(known.entry)] = 60'000;
+        }
+    }
+    fixture.forwarder->setOthersWork(report);
+    int toLoaded = 0;
+    for (int i = 0; i < 30; ++i) {
+        fixture.sendRequest(50);
+        const kernel::Endpoint &to = fixture.http.last().request.endpoint;
+        toLoaded += loaded.contains(to.ip + std::to_string(to.port)) ? 1 : 0;
+    }
+    EXPECT_TRUE(fixture.queries.empty()) << "others' work is known";
+    // A few of the selections see only loaded candidates.
+    EXPECT_LE(toLoaded, 8);
+}
