Expected finish decides only while other routers' work is known

Change: without a report of the last 2 s all is chosen as before (affinity, lanes, load queries). A report that is in force is repeated each second, since others' work comes in answer. Not measured: plays with other routers' work, which no transport carries yet.

--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -15,6 +15,8 @@
 // Interval at which the shares of limited upstreams are computed anew.
 constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
 constexpr kernel::Duration workShareInterval = std::chrono::milliseconds(250);
+// A report on work in flight is repeated after this time, because the others' work comes in answer.
+constexpr kernel::Duration workRepeatInterval = std::chrono::seconds(1);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
 // Routers request the same step one after the other, so that usually only one of them writes.
@@ -304,7 +306,9 @@
     if (!m_shareWork || now - m_workSharedAt < workShareInterval)
         return;
     WorkReport report = ownWork(m_state);
-    if (report == m_sharedWork)
+    const bool isRepeatDue
+        = !report.remainingMs.empty() && now - m_workSharedAt >= workRepeatInterval;
+    if (report == m_sharedWork && !isRepeatDue)
         return;
     m_workSharedAt = now;
     m_sharedWork = std::move(report);
--- a/src/forwarding/internal/placement/costestimate.cpp
+++ b/src/forwarding/internal/placement/costestimate.cpp
@@ -84,9 +84,8 @@
 double weightedReadTokens(double promptTokens, double cachedTokens)
 {
     const double cached = std::clamp(cachedTokens, 0.0, promptTokens);
-    const auto weighted = [](double tokens) {
-        return tokens + tokens * tokens / (2 * doublingContextTokens);
-    };
+    const auto weighted
+        = [](double tokens) { return tokens + tokens * tokens / (2 * doublingContextTokens); };
     return weighted(promptTokens) - weighted(cached);
 }
 
@@ -131,8 +130,7 @@
                           * takeSource(service.callers, observation.caller);
     const double baseMs = std::max(observation.baseMs, smallestMs);
     if (observation.workMs < baseMs) {
-        observe(service.base, (observation.actualMs - observation.workMs) / baseMs, median,
-                weight);
+        observe(service.base, (observation.actualMs - observation.workMs) / baseMs, median, weight);
         return;
     }
     const double ratio = (observation.actualMs - baseMs) / observation.workMs;
--- a/src/forwarding/internal/placement/finishchoice.cpp
+++ b/src/forwarding/internal/placement/finishchoice.cpp
@@ -36,8 +36,8 @@
 }
 
 // Returns the first candidates in the rendezvous-hash order of the key, the first one first.
-std::array<Scored, rendezvousCandidates> firstInOrder(const std::vector<const Upstream *> &candidates,
-                                                      std::string_view key)
+std::array<Scored, rendezvousCandidates>
+firstInOrder(const std::vector<const Upstream *> &candidates, std::string_view key)
 {
     std::array<Scored, rendezvousCandidates> first;
     for (const Upstream *upstream : candidates) {
--- a/src/forwarding/internal/placement/promptholders.h
+++ b/src/forwarding/internal/placement/promptholders.h
@@ -18,8 +18,8 @@
     double tokens = 0;
 };
 
-/// What a router remembers of the prompts that it has sent: which upstream processes have read which
-/// starts of prompts for which model. The memory is bounded; the oldest entries go first.
+/// What a router remembers of the prompts that it has sent: which upstream processes have read
+/// which starts of prompts for which model. The memory is bounded; the oldest entries go first.
 struct SentPrompts
 {
     struct Reader
--- a/src/forwarding/internal/placement/upstreamchoice.cpp
+++ b/src/forwarding/internal/placement/upstreamchoice.cpp
@@ -190,6 +190,7 @@
 {
     std::vector<const Upstream *> preferred;
     std::vector<const Upstream *> avoided;
+    bool isAnyLimited = false;
     for (const Upstream *upstream : candidates) {
         if (query.exclude != nullptr && query.exclude->contains(upstream->id))
             continue;
@@ -203,13 +204,16 @@
         const bool avoid = record.unreachable || record.avoidUntil > query.now || onTrial
                            || availability == Availability::LastResort;
         (avoid ? avoided : preferred).push_back(upstream);
+        isAnyLimited = isAnyLimited || record.notices.pace.has_value();
     }
     if (preferred.empty()) {
         const Upstream *upstream = leastLoaded(avoided, records, random);
         return { upstream,
                  upstream != nullptr ? ChoiceReason::AvoidanceIgnored : ChoiceReason::None };
     }
-    std::vector<const Upstream *> limited = takeLimited(preferred, records);
+    std::vector<const Upstream *> limited;
+    if (isAnyLimited)
+        limited = takeLimited(preferred, records);
     if (preferred.empty() || usesLimited(limited, records, query))
         return chooseLimited(limited, records, query, random);
     if (query.finish != nullptr && preferred.size() >= minUpstreamsForFinishChoice)
--- a/src/forwarding/internal/placement/upstreamchoice.h
+++ b/src/forwarding/internal/placement/upstreamchoice.h
@@ -64,8 +64,8 @@
     Lane lane = Lane::Any;
     /// Fraction of the upstreams that serve requests with long latency objectives.
     double longObjectiveFraction = 0;
-    /// Cost of the request, if it runs a model. With many upstreams, the expected finish that follows
-    /// from it decides.
+    /// Cost of the request, if it runs a model. With many upstreams, the expected finish that
+    /// follows from it decides.
     const FinishQuery *finish = nullptr;
     /// Upstreams that must not be selected, such as those already tried.
     const std::set<kernel::UpstreamId> *exclude = nullptr;
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -188,8 +188,8 @@
     std::string m_model;
     FinishQuery m_finish;
     CostRates m_rates;
-    // Expected and actual time from the start of the last attempt to the first event; -1 if there is
-    // none.
+    // Expected and actual time from the start of the last attempt to the first event; -1 if there
+    // is none.
     double m_expectedFirstMs = -1;
     double m_actualFirstMs = -1;
     std::string m_lastUpstream;
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -65,7 +65,8 @@
     query.now = now();
     if (m_request.work) {
         estimateCost();
-        query.finish = &m_finish;
+        if (knowsOthersWork(m_state))
+            query.finish = &m_finish;
     }
     const auto choices
         = selectUpstreams(reachableCandidates(m_state, m_plan.service, version), query);
--- a/src/forwarding/internal/request/jobcost.cpp
+++ b/src/forwarding/internal/request/jobcost.cpp
@@ -91,8 +91,7 @@
 {
     if (m_attempt->workNumber == 0 || !m_attempt->firstByteSeen)
         return;
-    recordOutputTime(m_state.costEstimates,
-                     { m_plan.service, m_attempt->model, m_plan.route.name },
+    recordOutputTime(m_state.costEstimates, { m_plan.service, m_attempt->model, m_plan.route.name },
                      expectedOutputTokens(*m_request.work) * m_rates.outputMsPerToken,
                      toExactMilliseconds(now() - m_attempt->firstEventAt));
 }
@@ -103,8 +102,7 @@
     if (m_attempt->workNumber == 0)
         return;
     const double waitedMs = toExactMilliseconds(now() - m_attempt->startedAt);
-    const bool gaveUp
-        = outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
+    const bool gaveUp = outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
     if (gaveUp && !m_attempt->firstEventRecorded && waitedMs > m_attempt->expected.firstMs) {
         recordFirstEventOf(record.backlog, m_attempt->workNumber,
                            m_attempt->expected.aheadMs + m_attempt->expected.readMs,
--- a/src/forwarding/tests/finishchoice_tests.cpp
+++ b/src/forwarding/tests/finishchoice_tests.cpp
@@ -77,9 +77,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Routers, PlacementTest,
-                         testing::Values(LoadCase{ 1, 0.7 }, LoadCase{ 1, 0.9 },
-                                         LoadCase{ 1, 1.1 }, LoadCase{ 5, 0.7 },
-                                         LoadCase{ 5, 0.9 }, LoadCase{ 5, 1.1 },
+                         testing::Values(LoadCase{ 1, 0.7 }, LoadCase{ 1, 0.9 }, LoadCase{ 1, 1.1 },
+                                         LoadCase{ 5, 0.7 }, LoadCase{ 5, 0.9 }, LoadCase{ 5, 1.1 },
                                          LoadCase{ 63, 0.7 }, LoadCase{ 63, 0.9 },
                                          LoadCase{ 63, 1.1 }));
 
@@ -258,8 +257,12 @@
 TEST(UpstreamBacklogTest, RequestCountsByWhatIsLeftOfIt)
 {
     UpstreamBacklog backlog;
-    startWork(backlog, { .number = 1, .readMs = 100, .outputWorkMs = 40, .outputMs = 1000,
-                         .expectedFirstMs = 100, .startedAt = start });
+    startWork(backlog, { .number = 1,
+                         .readMs = 100,
+                         .outputWorkMs = 40,
+                         .outputMs = 1000,
+                         .expectedFirstMs = 100,
+                         .startedAt = start });
     const double before = ownRemainingMs(backlog, start + 50ms);
     EXPECT_GE(before, 100);
     recordFirstEventOf(backlog, 1, 100, 100, start + 100ms);
@@ -283,8 +286,7 @@
 TEST(UpstreamBacklogTest, WaitingRequestShowsSlowUpstreamAtOnce)
 {
     UpstreamBacklog backlog;
-    startWork(backlog,
-              { .number = 1, .readMs = 200, .expectedFirstMs = 200, .startedAt = start });
+    startWork(backlog, { .number = 1, .readMs = 200, .expectedFirstMs = 200, .startedAt = start });
     EXPECT_DOUBLE_EQ(speedOf(backlog, start + 300ms), 1);
     EXPECT_LT(speedOf(backlog, start + 1600ms), 0.3);
 }
--- a/src/forwarding/tests/queueworld.cpp
+++ b/src/forwarding/tests/queueworld.cpp
@@ -118,8 +118,7 @@
 double normal(kernel::Random &random)
 {
     const double u = std::max(kernel::uniform01(random), 1e-12);
-    return std::sqrt(-2 * std::log(u))
-           * std::cos(2 * std::numbers::pi * kernel::uniform01(random));
+    return std::sqrt(-2 * std::log(u)) * std::cos(2 * std::numbers::pi * kernel::uniform01(random));
 }
 
 Arrival QueueWorld::makeArrival(double atMs)
@@ -133,8 +132,8 @@
     const bool elsewhere = kernel::uniform01(m_random) < 0.1;
     const auto routers = static_cast<std::uint64_t>(m_options.routers);
     const std::uint64_t home = kernel::hash64("session-" + std::to_string(arrival.session));
-    arrival.router = static_cast<int>(
-        (elsewhere ? kernel::uniformBelow(m_random, routers) : home) % routers);
+    arrival.router
+        = static_cast<int>((elsewhere ? kernel::uniformBelow(m_random, routers) : home) % routers);
     arrival.large = kernel::uniform01(m_random) < largeModelShare;
     const std::int64_t sessionTokens = 1000 + static_cast<std::int64_t>(home % 6000);
     const double own = std::min(2500 * std::exp(1.2 * normal(m_random)), 50'000.0);
@@ -150,8 +149,7 @@
 
 double QueueWorld::actualReadMs(const Arrival &arrival, const Server &server) const
 {
-    const auto read
-        = server.readAtMs.find(arrival.work.model + arrival.work.parts[1].id);
+    const auto read = server.readAtMs.find(arrival.work.model + arrival.work.parts[1].id);
     const bool cached
         = read != server.readAtMs.end() && arrival.atMs - read->second < cacheSeconds * 1000;
     const double tokens = weightedReadTokens(static_cast<double>(arrival.work.promptTokens),
@@ -203,9 +201,9 @@
     query.now = at(arrival.atMs);
     if (m_options.rule == PlacementRule::Finish)
         query.finish = &finish;
-    const UpstreamChoice choice = chooseUpstream(
-        m_candidates, m_routers[static_cast<std::size_t>(arrival.router)].records, query,
-        m_choices);
+    const UpstreamChoice choice
+        = chooseUpstream(m_candidates, m_routers[static_cast<std::size_t>(arrival.router)].records,
+                         query, m_choices);
     return static_cast<int>(choice.upstream - m_upstreams.data());
 }
 
@@ -218,8 +216,7 @@
     RouterState &router = m_routers[static_cast<std::size_t>(arrival.router)];
     UpstreamRecord &record = router.records[m_upstreams[index].id];
     const kernel::Instant now = at(arrival.atMs);
-    const ExpectedFinish expected
-        = expectedFinish(m_upstreams[index], record.backlog, finish, now);
+    const ExpectedFinish expected = expectedFinish(m_upstreams[index], record.backlog, finish, now);
     const double readMs = actualReadMs(arrival, server);
     const double tookMs = readMs / speedOfServer(index, arrival.atMs);
     server.freeAtMs = std::max(server.freeAtMs, arrival.atMs) + tookMs;
