--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -15,6 +15,9 @@
 constexpr kernel::Duration tickInterval = std::chrono::milliseconds(100);
 // Interval at which the shares of limited upstreams are computed anew.
 constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
+constexpr kernel::Duration workShareInterval = std::chrono::milliseconds(250);
+// A report on work in flight is repeated after this time, because the others' work comes in answer.
+constexpr kernel::Duration workRepeatInterval = std::chrono::seconds(1);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
 // Routers request the same step one after the other, so that usually only one of them writes.
@@ -76,6 +79,7 @@
     , m_shareCrashes(std::move(callbacks.shareCrashEvidence))
     , m_publishLimitReport(std::move(callbacks.publishLimitReport))
     , m_removeLimitReport(std::move(callbacks.removeLimitReport))
+    , m_shareWork(std::move(callbacks.shareWork))
     , m_onConfiguration(std::move(callbacks.onConfiguration))
 {
     m_state.limitSharing
@@ -282,6 +286,7 @@
     probeUnreachable();
     reviewCrashes();
     reviewLimits();
+    shareWork();
     reviewRollouts();
     armTick();
 }
@@ -302,6 +307,26 @@
     applyLimits(m_state);
 }
 
+void Forwarder::shareWork()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    if (!m_shareWork || now - m_workSharedAt < workShareInterval)
+        return;
+    WorkReport report = ownWork(m_state);
+    const bool isRepeatDue
+        = !report.remainingMs.empty() && now - m_workSharedAt >= workRepeatInterval;
+    if (report == m_sharedWork && !isRepeatDue)
+        return;
+    m_workSharedAt = now;
+    m_sharedWork = std::move(report);
+    m_shareWork(m_sharedWork);
+}
+
+void Forwarder::setOthersWork(const WorkReport &report)
+{
+    applyOthersWork(m_state, report);
+}
+
 void Forwarder::setLimitReports(const std::map<kernel::VmId, LimitReport> &reports)
 {
     onLimitsEnded(replaceReports(m_state.limitSharing, reports, m_state.scheduler.now()));
