--- a/soak/evacuations.cpp
+++ b/soak/evacuations.cpp
@@ -65,10 +65,12 @@
 bool Evacuations::mayEvacuate(const std::string &dataCentre) const
 {
     return std::ranges::all_of(std::array{ "desk", "engines" }, [&](const char *service) {
-        return std::ranges::count_if(m_world.runners(), [&](const auto &runner) {
-                   return runner->service == service && runner->dataCentre != dataCentre
-                          && !runner->leaving;
-               })
+        return std::ranges::count_if(m_world.runners(),
+                                     [&](const auto &runner) {
+                                         return runner->service == service
+                                                && runner->dataCentre != dataCentre
+                                                && !runner->leaving;
+                                     })
                >= minRunnersElsewhere;
     });
 }
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -240,8 +240,8 @@
 
 void World::registerRunner(const RunnerPlace &runner)
 {
-    auto spec
-        = platform::testing::makeRunnerSpec(runner.service, runner.path->endpoint(), runner.leaving);
+    auto spec = platform::testing::makeRunnerSpec(runner.service, runner.path->endpoint(),
+                                                  runner.leaving);
     platform::testing::setDataCentre(spec, runner.dataCentre);
     if (runner.registeredCold)
         platform::testing::setColdTime(spec, coldTime);
@@ -406,7 +406,8 @@
     removeRunner(id);
     m_timers.emplace_back(scheduler(), lapseTime, [this, id] { m_store.remove("servers", id); });
     if (!wasLeaving) {
-        m_timers.emplace_back(scheduler(), newRunnerDelay, [this, service] { addRunner(service, true); });
+        m_timers.emplace_back(scheduler(), newRunnerDelay,
+                              [this, service] { addRunner(service, true); });
     }
 }
 
--- a/src/app/router/tests/evacuation_tests.cpp
+++ b/src/app/router/tests/evacuation_tests.cpp
@@ -98,8 +98,8 @@
     void startFetch(const Router &router, const std::string &path,
                     std::function<void(const kernel::Completion<http::ClientResponse> &)> onEnd)
     {
-        http::ClientRequest request = makeCallerRequest(
-            router.callersEndpoint(), path, "q" + std::to_string(++m_requestCount), 4s);
+        http::ClientRequest request = makeCallerRequest(router.callersEndpoint(), path,
+                                                        "q" + std::to_string(++m_requestCount), 4s);
         request.body = "body";
         m_client.fetch(request, std::move(onEnd));
     }
@@ -182,8 +182,8 @@
     m_store.setUnansweredKind(evacuations);
     Router router(m_loop, settings(0), "");
     ASSERT_TRUE(kernel::capture([&] { return router.start(); }).ok());
-    ASSERT_TRUE(m_loop.runUntil([&] { return directoryOf(router).upstreams.size() == 2; },
-                                waitTimeout));
+    ASSERT_TRUE(
+        m_loop.runUntil([&] { return directoryOf(router).upstreams.size() == 2; }, waitTimeout));
     m_loop.runUntil([] { return false; }, 300ms);
     EXPECT_FALSE(router.ready());
     EXPECT_EQ(fetch(router, "/desk/x").head.status, 503);
--- a/src/forwarding/internal/limits/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -158,8 +158,7 @@
     UpstreamNotices &notices = found->second.notices;
     const std::optional<double> named
         = notices.limit ? std::optional(notices.limit->perSecond) : reported;
-    const std::optional<double> limit
-        = limitInForce(named, coldLimit(state, upstream, notices));
+    const std::optional<double> limit = limitInForce(named, coldLimit(state, upstream, notices));
     if (!limit) {
         if (notices.pace)
             logPace(state, upstream.id, 0, 0);
@@ -167,8 +166,7 @@
         return;
     }
     const kernel::Instant now = state.scheduler.now();
-    const LimitReason reason
-        = named && *limit == *named ? LimitReason::Named : LimitReason::Cold;
+    const LimitReason reason = named && *limit == *named ? LimitReason::Named : LimitReason::Cold;
     const double share = limitShare(state.limitSharing, processIdOf(upstream), *limit, reason, now);
     if (setPace(notices.pace, share, now, state.random))
         logPace(state, upstream.id, *limit, share);
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -109,9 +109,8 @@
 bool areColdSharesUsed(const ForwardingState &state,
                        const std::vector<const Upstream *> &candidates)
 {
-    return std::ranges::all_of(candidates, [&](const Upstream *upstream) {
-        return isColdShareUsed(state, *upstream);
-    });
+    return std::ranges::all_of(
+        candidates, [&](const Upstream *upstream) { return isColdShareUsed(state, *upstream); });
 }
 
 } // namespace
@@ -138,9 +137,8 @@
     });
     if (candidates.empty())
         return evacuated ? "evacuated" : "no_upstream";
-    const bool cold = std::ranges::any_of(candidates, [&](const Upstream *upstream) {
-        return isColdShareUsed(state, *upstream);
-    });
+    const bool cold = std::ranges::any_of(
+        candidates, [&](const Upstream *upstream) { return isColdShareUsed(state, *upstream); });
     return cold ? "cold_share_used" : "no_upstream";
 }
 
--- a/src/forwarding/tests/coldupstreams_tests.cpp
+++ b/src/forwarding/tests/coldupstreams_tests.cpp
@@ -179,8 +179,8 @@
     fixture.registerCold(3s);
     EXPECT_EQ(fixture.notices().pace->limit, 2);
     EXPECT_FALSE(fixture.notices().pace->namedSince);
-    fixture.forwarder.setLimitReport(
-        kernel::VmId("other"), { 1, { { processIdOf(fixture.entry()), 1.5 } }, {} });
+    fixture.forwarder.setLimitReport(kernel::VmId("other"),
+                                     { 1, { { processIdOf(fixture.entry()), 1.5 } }, {} });
     EXPECT_EQ(fixture.notices().pace->limit, 1.5);
     EXPECT_TRUE(fixture.notices().pace->namedSince);
     fixture.clock.advance(4s);
@@ -257,7 +257,8 @@
     }
 }
 
-// Nothing tells the routers beforehand, so the upstreams' usual rate is below what a cold one bears.
+// Nothing tells the routers beforehand, so the upstreams' usual rate is below what a cold one
+// bears.
 TEST(ColdUpstreams, UpstreamsMayTurnColdAtAnyMoment)
 {
     constexpr double usualRequests = 0.6 * coldPerSecond * upstreamCount;
@@ -296,8 +297,8 @@
 }
 
 // Evacuations, dark data centres, restarts of routers, a few routers that do not see the store, and
-// a session with many requests, all in random order. Before a data centre goes dark, all routers use
-// it, so that most of them notice.
+// a session with many requests, all in random order. Before a data centre goes dark, all routers
+// use it, so that most of them notice.
 TEST(ColdUpstreams, LimitHoldsThroughOverlappingFaults)
 {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
