--- a/soak/crowds/crowds_tests.cpp
+++ b/soak/crowds/crowds_tests.cpp
@@ -228,10 +228,7 @@
         runner.behaviour().extraBytes = maxBodyBytes;
         nlohmann::json configuration
             = platform::testing::makeConfigurationSpec(1, { { "look", "safe", "desk" } });
-        configuration["Limits"] = { { "MaxBodyBytes", maxBodyBytes },
-                                    { "MaxHeaderBytes", maxHeaderBytes },
-                                    { "HeaderTimeoutMs", 5000 },
-                                    { "IdleTimeoutMs", 15000 } };
+        platform::testing::setCallerLimits(configuration, maxBodyBytes, maxHeaderBytes);
         store.put("config", "main", configuration);
         nlohmann::json spec = platform::testing::makeRunnerSpec("desk", runner.endpoint());
         spec["Slots"] = bodyCrowd;
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -195,6 +195,7 @@
                    "Connections that the router opened to upstreams and to the store",
                    [this] { return static_cast<double>(m_client.connectionsOpened()); });
     BOOST_LEAF_CHECK(listen());
+    registerCallerMetrics();
     m_adapter.start(m_forwarder);
     m_loop.onTerminate([this] { startDrain(); });
     m_loop.onReload([this] { reload("signal"); });
@@ -237,8 +238,58 @@
     responder->send(isReady ? httpOk : httpUnavailable, {}, "");
 }
 
+void Router::registerCallerMetrics()
+{
+    metrics::Registry &registry = m_forwarder.metrics();
+    registry.gauge("acaciasail_caller_connections", "Connections of callers",
+                   [this] { return static_cast<double>(m_callerServer->connections()); });
+    registry.gauge("acaciasail_held_for_callers_bytes", "Bytes held for callers",
+                   [this] { return static_cast<double>(m_callerServer->heldBytes()); });
+    const auto count = [&](const std::string &name, const std::string &help,
+                           std::uint64_t http::CallerCounts::*member) {
+        registry.gauge(name, help, [this, member] {
+            return static_cast<double>(m_callerServer->callerCounts().*member);
+        });
+    };
+    count("acaciasail_callers_closed_for_memory",
+          "Connections of callers closed because too much was held for callers",
+          &http::CallerCounts::closedForMemory);
+    count("acaciasail_callers_closed_for_room",
+          "Connections of callers closed to make room for others",
+          &http::CallerCounts::closedForRoom);
+    count("acaciasail_callers_closed_for_time",
+          "Connections of callers closed because a request didn't arrive in time",
+          &http::CallerCounts::closedForTime);
+    count("acaciasail_callers_closed_as_gone",
+          "Connections of callers closed because the caller was gone",
+          &http::CallerCounts::closedAsGone);
+    count("acaciasail_heads_refused", "Requests refused for the size of their heads",
+          &http::CallerCounts::refusedHeads);
+    count("acaciasail_bodies_refused", "Requests refused before their bodies were read",
+          &http::CallerCounts::refusedBodies);
+}
+
+void Router::logCallerCounts()
+{
+    const http::CallerCounts &now = m_callerServer->callerCounts();
+    if (now == m_loggedCounts)
+        return;
+    const http::CallerCounts &last = m_loggedCounts;
+    kernel::logEvent(kernel::EventId::CallersClosed,
+                     { { "for_memory", now.closedForMemory - last.closedForMemory },
+                       { "for_room", now.closedForRoom - last.closedForRoom },
+                       { "for_time", now.closedForTime - last.closedForTime },
+                       { "as_gone", now.closedAsGone - last.closedAsGone },
+                       { "heads_refused", now.refusedHeads - last.refusedHeads },
+                       { "bodies_refused", now.refusedBodies - last.refusedBodies },
+                       { "held_bytes", m_callerServer->heldBytes() },
+                       { "connections", m_callerServer->connections() } });
+    m_loggedCounts = now;
+}
+
 void Router::checkSettings()
 {
+    logCallerCounts();
     const FileStamp stamp = readFileStamp(m_settingsFile);
     if (stamp != FileStamp{} && stamp != m_settingsStamp)
         reload("changed");
--- a/src/app/router/router.h
+++ b/src/app/router/router.h
@@ -56,6 +56,9 @@
     void answerInternal(const http::ServerRequest &request, http::Responder &responder);
     void answerReadiness(const std::shared_ptr<http::Responder> &responder);
     void checkSettings();
+    void registerCallerMetrics();
+    // Logs what was closed and refused since the last call, if anything was.
+    void logCallerCounts();
     void continueDrain();
     bool isReadyToExit() const;
     bool areCrashesShared() const;
@@ -78,6 +81,7 @@
     /// their responses; empty until then.
     std::optional<std::uint64_t> m_acceptedBeforeClosing;
     std::optional<bool> m_reportedReady;
+    http::CallerCounts m_loggedCounts;
     kernel::Timer m_settingsTimer;
     kernel::Timer m_drainTimer;
 };
--- a/src/framework/http/tests/callerlimits_tests.cpp
+++ b/src/framework/http/tests/callerlimits_tests.cpp
@@ -149,6 +149,26 @@
     EXPECT_GE(server->callerCounts().closedForRoom, 20U);
 }
 
+// A peer that answers but has no room for more bytes counts as unreachable to the system's own
+// time-out of unacknowledged bytes.
+TEST_F(CallerLimits, ACallerThatReadsNothingForAWhileGetsItsWholeAnswer)
+{
+    constexpr std::size_t answerBytes = 2U << 20U;
+    options.memoryBytes = 4 * answerBytes;
+    auto listening = kernel::capture([&] {
+        return Server::listen(
+            loop, options, [](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+                responder->send(200, {}, std::string(answerBytes, 'x') + "end");
+            });
+    });
+    server = std::move(listening.value());
+    RawConnection caller(loop, server->endpoint());
+    caller.send("GET /x HTTP/1.1\r\nhost: h\r\n\r\n");
+    loop.runUntil([] { return false; }, 5s);
+    EXPECT_EQ(server->connections(), 1U);
+    EXPECT_TRUE(caller.readUntil("xend").ends_with("xend"));
+}
+
 TEST_F(CallerLimits, AHeadThatNeverEndsIsClosedInTime)
 {
     options.headTimeout = 100ms;
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -25,6 +25,7 @@
     SettingsReloaded = 1007,
     ReadinessChanged = 1008,
     LogLinesDropped = 1009,
+    CallersClosed = 1010,
     RequestReceived = 2001,
     RequestRefused = 2002,
     RequestFinished = 2003,
