--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -26,12 +26,12 @@
         "The settings file was read again; fields: why, and what came of it." },
     EventInfo{ EventId::ReadinessChanged, "ReadinessChanged", EventLevel::Info,
         "The daemon tells the balancer something else than before; fields: ready, why." },
+    EventInfo{ EventId::LogLinesDropped, "LogLinesDropped", EventLevel::Warn,
+        "Lines were dropped because the log's reader is slow; fields: number." },
     EventInfo{ EventId::CallersClosed, "CallersClosed", EventLevel::Warn,
         "Callers' connections were closed, or requests refused before they had arrived whole, in the "
         "last second; fields: for_memory, for_room, for_time, as_gone, heads_refused, "
         "bodies_refused, held_bytes, connections." },
-    EventInfo{ EventId::LogLinesDropped, "LogLinesDropped", EventLevel::Warn,
-        "Lines were dropped because the log's reader is slow; fields: number." },
     EventInfo{ EventId::RequestReceived, "RequestReceived", EventLevel::Debug,
         "A caller's request was read and checked." },
     EventInfo{ EventId::RequestRefused, "RequestRefused", EventLevel::Info,
