--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -102,6 +102,11 @@
     AttemptContext makeAttemptContext(const Upstream &upstream) const;
     void logChoice(const UpstreamChoice &choice) const;
     void startAttempt(const UpstreamChoice &choice);
+    // Ends the request if its caller has closed the connection; returns whether it did.
+    bool endIfCallerLeft();
+    // Returns whether the attempt in progress has waited too long to be sent as it was encoded.
+    bool isAttemptStale() const;
+    void restartAttempt();
     void onSent();
     void onHead(const http::ClientHead &clientHead);
     void onBody(std::string_view piece);
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -179,8 +179,22 @@
                        { "left_ms", kernel::toMilliseconds(timeLeft()) } });
 }
 
+// A process that was held up may handle an event of an upstream, or a request itself, before the
+// end of the caller's connection.
+bool Job::endIfCallerLeft()
+{
+    if (!m_responder->hasCallerLeft())
+        return false;
+    const auto self = shared_from_this();
+    m_responder->abort();
+    onCallerGone();
+    return true;
+}
+
 void Job::startAttempt(const UpstreamChoice &choice)
 {
+    if (endIfCallerLeft())
+        return;
     if (isPoison()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
@@ -214,8 +228,30 @@
     armReview();
 }
 
+// A connection that took longer than its timeout shows that the process was held up. The caller may
+// have left meanwhile, and the encoded request states more time than is left.
+bool Job::isAttemptStale() const
+{
+    return now() - m_attempt->startedAt > m_state.options.connectTimeout
+           || timeLeft() < minAttemptTime;
+}
+
+// Starts the attempt anew at any upstream; nothing was sent.
+void Job::restartAttempt()
+{
+    const auto self = shared_from_this();
+    ++m_failedConnects;
+    m_triedUpstreams.erase(m_attempt->upstream);
+    finishAttempt(AttemptOutcome::Cancelled);
+    startNextAttempt();
+}
+
 void Job::onSent()
 {
+    if (isAttemptStale()) {
+        restartAttempt();
+        return;
+    }
     recordSent(m_attempts);
     recordConnectTime(m_state, now() - m_attempt->startedAt);
     m_retryReserved = false;
--- a/src/forwarding/tests/fakes.h
+++ b/src/forwarding/tests/fakes.h
@@ -67,6 +67,7 @@
     void whenDrained(std::function<void()> function) override { onDrained = std::move(function); }
     void whenClosed(std::function<void()> function) override { onClosed = std::move(function); }
     bool closed() const override { return ended; }
+    bool hasCallerLeft() const override { return left; }
 
     std::string header(std::string_view name) const;
 
@@ -75,6 +76,8 @@
     std::string body;
     bool ended = false;
     bool aborted = false;
+    /// The caller has closed its connection, and the job was not told yet.
+    bool left = false;
     std::size_t queued = 0;
     std::function<void()> onDrained;
     std::function<void()> onClosed;
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -81,6 +81,57 @@
     EXPECT_EQ(sentHeader(fixture.http.last(), "left"), "690");
 }
 
+TEST(JobTest, NothingIsSentForCallerThatLeftUnnoticed)
+{
+    ForwarderFixture fixture;
+    auto caller = std::make_shared<FakeResponder>();
+    caller->left = true;
+    fixture.forwarder.handle(fixture.request("/safe/x"), caller);
+    EXPECT_TRUE(fixture.http.sends.empty());
+    EXPECT_TRUE(caller->aborted);
+    EXPECT_EQ(fixture.forwarder.inProgress(), 0U);
+}
+
+TEST(JobTest, NothingIsRetriedForCallerThatLeftUnnoticed)
+{
+    ForwarderFixture fixture;
+    const auto caller = fixture.sendRequest("/safe/x");
+    fixture.http.last().reportSent();
+    caller->left = true;
+    fixture.http.last().head(503, { { "not-run", "1" } });
+    EXPECT_EQ(fixture.http.sends.size(), 1U);
+    EXPECT_EQ(fixture.forwarder.inProgress(), 0U);
+}
+
+// The process is held up while it connects, so the connection stands before its timeout is noticed.
+TEST(JobTest, RequestIsEncodedAnewAfterProcessWasHeldUp)
+{
+    ForwarderFixture fixture;
+    Request request = fixture.request("/unsafe/x");
+    request.callerTimeout = 1000ms;
+    const auto caller = fixture.sendRequest(request);
+    const auto first = fixture.http.sends.back();
+    fixture.clock.advance(700ms);
+    first->reportSent();
+    EXPECT_TRUE(first->cancelled) << "nothing of it is sent";
+    ASSERT_EQ(fixture.http.sends.size(), 2U);
+    EXPECT_EQ(sentHeader(fixture.http.last(), "left"), "290");
+    fixture.http.last().respond(200, "ok");
+    EXPECT_EQ(caller->status, 200);
+}
+
+TEST(JobTest, CallerThatLeftWhileProcessWasHeldUpGetsNothingSent)
+{
+    ForwarderFixture fixture;
+    const auto caller = fixture.sendRequest("/safe/x");
+    const auto first = fixture.http.sends.back();
+    caller->left = true;
+    fixture.clock.advance(700ms);
+    first->reportSent();
+    EXPECT_TRUE(first->cancelled);
+    EXPECT_EQ(fixture.http.sends.size(), 1U);
+}
+
 TEST(JobTest, RetriesSafeRequestAtAnotherUpstream)
 {
     ForwarderFixture fixture;
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace acaciasail::http {
@@ -227,6 +228,16 @@
     return h2o_socket_get_fd(m_request->conn->callbacks->get_socket(m_request->conn));
 }
 
+bool H2oResponder::hasCallerLeft() const
+{
+    if (m_request == nullptr)
+        return true;
+    // Reads nothing, so pipelined requests stay where they are.
+    pollfd connection{ descriptor(), POLLRDHUP, 0 };
+    return poll(&connection, 1, 0) > 0
+           && (connection.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void H2oResponder::end()
 {
     m_onClosed = nullptr;
--- a/src/framework/http/internal/responder.h
+++ b/src/framework/http/internal/responder.h
@@ -35,6 +35,7 @@
     void whenDrained(std::function<void()> function) override;
     void whenClosed(std::function<void()> function) override;
     bool closed() const override { return m_request == nullptr; }
+    bool hasCallerLeft() const override;
 
     /// Whether nothing was sent since the last call; a failed write would show that the caller
     /// has gone.
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -40,6 +40,9 @@
     /// Calls the function once if the caller goes before the answer's end.
     virtual void whenClosed(std::function<void()> function) = 0;
     virtual bool closed() const = 0;
+    /// Whether the caller has closed its connection, asked of the system: true also where the loop
+    /// has not handled the close yet, as in a process that was held up.
+    virtual bool hasCallerLeft() const = 0;
 };
 
 using RequestHandler
--- a/src/framework/http/tests/server_tests.cpp
+++ b/src/framework/http/tests/server_tests.cpp
@@ -231,6 +231,23 @@
     EXPECT_TRUE(m_loop.runUntil([&] { return gone; }, patience));
 }
 
+TEST_F(HttpServer, ACallerThatLeftBeforeItsRequestWasReadIsSeenAtOnce)
+{
+    std::vector<bool> left;
+    serve([&](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+        left.push_back(responder->hasCallerLeft());
+        responder->send(200, {}, "ok");
+    });
+    RawConnection gone(m_loop, m_server->endpoint());
+    gone.send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    gone.close();
+    ASSERT_TRUE(m_loop.runUntil([&] { return left.size() == 1; }, patience));
+    RawConnection present(m_loop, m_server->endpoint());
+    present.send("GET / HTTP/1.1\r\nhost: x\r\n\r\n");
+    ASSERT_TRUE(m_loop.runUntil([&] { return left.size() == 2; }, patience));
+    EXPECT_EQ(left, (std::vector<bool>{ true, false }));
+}
+
 TEST_F(HttpServer, KeptConnectionsCanBeEndedAfterTheirNextAnswer)
 {
     serve([](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
