--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -108,35 +108,6 @@
         return;
 }
 
-// Drops the response of a small model with low confidence, before any of it was sent to the caller.
-bool Job::escalate()
-{
-    if (!m_request.work || m_escalated || !mayRetry(m_attempts))
-        return false;
-    const kernel::Instant objectiveEnd = m_request.arrived + m_plan.route.latencyObjective;
-    const std::string larger
-        = escalateTo(m_plan.route, m_state.options.models, *m_request.work, m_model,
-                     m_attempt->head->confidence, m_attempts.maxAttempts - m_attempts.sent,
-                     objectiveEnd - now(), saturation(m_state.lateRequestRates[m_plan.service]));
-    if (larger.empty() || !isAnyUpstreamAvailable()
-        || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
-        return false;
-    kernel::logEvent(kernel::EventId::CascadeEscalated,
-                     { { "request", m_request.id },
-                       { "from", m_model },
-                       { "to", larger },
-                       { "confidence", m_attempt->head->confidence.value_or(0) } });
-    m_escalated = true;
-    m_model = larger;
-    // The upstream that read the prompt for the small model is as suitable as any other.
-    m_triedUpstreams.erase(m_attempt->upstream);
-    review(reviewFirstByte);
-    finishAttempt(AttemptOutcome::Succeeded);
-    m_retryReserved = true;
-    startNextAttempt();
-    return true;
-}
-
 void Job::onBody(std::string_view piece)
 {
     const auto self = shared_from_this();
@@ -244,6 +215,7 @@
 
 void Job::recordFirstByte()
 {
+    dropKeptResponse(AttemptOutcome::Succeeded);
     m_firstByteAt = now();
     const bool late = m_firstByteAt - m_request.arrived > m_plan.route.latencyObjective / 2;
     recordLateness(m_state.lateRequestRates[m_plan.service], late);
@@ -324,24 +296,34 @@
 
 // Finishes the attempt, records its outcome and closes its exchange.
 void Job::finishAttempt(AttemptOutcome outcome)
+{
+    stopAttemptTimers();
+    m_exchange = nullptr;
+    recordOutcome(*m_attempt, outcome);
+}
+
+void Job::stopAttemptTimers()
 {
     m_inactivityTimer.cancel();
     m_reachabilityTimer.cancel();
     m_reviewTimer.cancel();
-    m_exchange = nullptr;
-    recordPossibleCrash(outcome);
+}
+
+void Job::recordOutcome(const Attempt &attempt, AttemptOutcome outcome)
+{
+    recordPossibleCrash(attempt, outcome);
     const bool countsForFailureRate
         = outcome == AttemptOutcome::Succeeded || outcome == AttemptOutcome::Failed;
     double &serviceFailureRate = m_state.failureRates[m_plan.service];
     if (countsForFailureRate)
         serviceFailureRate += failureRateWeight
                               * ((outcome == AttemptOutcome::Failed ? 1 : 0) - serviceFailureRate);
-    const auto record = m_state.records.find(m_attempt->upstream);
+    const auto record = m_state.records.find(attempt.upstream);
     if (record == m_state.records.end())
         return;
-    if (recordFinish(record->second, outcome, m_attempt->work, serviceFailureRate, now())) {
+    if (recordFinish(record->second, outcome, attempt.work, serviceFailureRate, now())) {
         kernel::logEvent(kernel::EventId::UpstreamEjected,
-                         { { "upstream", m_attempt->upstream },
+                         { { "upstream", attempt.upstream },
                            { "service", m_plan.service },
                            { "request", m_request.id },
                            { "ejections", record->second.ejections } });
@@ -352,46 +334,46 @@
 void Job::recordCompleteResponse()
 {
     if (m_attempt->endsWithConnection)
-        recordLost(true);
+        recordLost(*m_attempt, true);
     else
         recordCompletedRun(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts,
                            m_state.scheduler.wallNow());
 }
 
-void Job::recordLost(bool mayBeComplete)
+void Job::recordLost(const Attempt &attempt, bool mayBeComplete)
 {
     recordLostRun(
         m_state.crashes,
         { .request = m_request.id,
           .fingerprint = m_plan.fingerprint,
-          .sharedParts = isUpstreamLeaving() ? std::vector<PromptPartKey>() : m_plan.sharedParts,
-          .upstream = m_attempt->upstream,
-          .process = m_attempt->process,
-          .startedAt = m_attempt->startedAt,
+          .sharedParts = isUpstreamLeaving(attempt.upstream) ? std::vector<PromptPartKey>() : m_plan.sharedParts,
+          .upstream = attempt.upstream,
+          .process = attempt.process,
+          .startedAt = attempt.startedAt,
           .lostAt = now(),
           .mayBeComplete = mayBeComplete });
-    m_state.upstreamsToProbe.insert(m_attempt->upstream);
+    m_state.upstreamsToProbe.insert(attempt.upstream);
 }
 
-void Job::recordPossibleCrash(AttemptOutcome outcome)
+void Job::recordPossibleCrash(const Attempt &attempt, AttemptOutcome outcome)
 {
-    if (m_attempt->suspect)
-        m_state.upstreamsWithSuspects.extract(m_attempt->upstream);
+    if (attempt.suspect)
+        m_state.upstreamsWithSuspects.extract(attempt.upstream);
     const bool broken = outcome == AttemptOutcome::ConnectionBroken;
     const bool unanswered
         = outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
-    const auto record = m_state.records.find(m_attempt->upstream);
+    const auto record = m_state.records.find(attempt.upstream);
     const bool unreachable = record != m_state.records.end() && record->second.unreachable;
-    if (!m_attempt->sent || !(broken || (unanswered && unreachable)))
+    if (!attempt.sent || !(broken || (unanswered && unreachable)))
         return;
-    recordLost(false);
+    recordLost(attempt, false);
 }
 
 // An upstream that leaves may exit while it still runs requests, without a crash.
-bool Job::isUpstreamLeaving() const
+bool Job::isUpstreamLeaving(const kernel::UpstreamId &upstream) const
 {
-    const auto record = m_state.records.find(m_attempt->upstream);
-    const auto known = m_state.directory.upstreams.find(m_attempt->upstream);
+    const auto record = m_state.records.find(upstream);
+    const auto known = m_state.directory.upstreams.find(upstream);
     return known == m_state.directory.upstreams.end() || known->second.entry.draining
            || (record != m_state.records.end() && record->second.notices.leavingSince.has_value());
 }
@@ -418,6 +400,7 @@
         return;
     if (m_attempt && m_exchange)
         finishAttempt(AttemptOutcome::Cancelled);
+    dropIncompleteKeptResponse();
     finishWithoutResponse(EndReason::Failed, "stopping");
 }
 
@@ -457,6 +440,10 @@
         finishAttempt(AttemptOutcome::Failed);
         break;
     }
+    if (m_kept) {
+        passOnKeptResponse(toString(failure));
+        return;
+    }
     if (isPoison()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
@@ -476,6 +463,7 @@
         return;
     if (m_attempt && m_exchange)
         finishAttempt(AttemptOutcome::Cancelled);
+    dropIncompleteKeptResponse();
     finishWithoutResponse(EndReason::TimedOut, "time_over");
 }
 
@@ -501,9 +489,13 @@
     finish(status, reason);
 }
 
-// Finishes a request for which no upstream gave a response.
+// Finishes a request for which no upstream gave a response, unless a kept response is at hand.
 void Job::finishWithoutResponse(EndReason reason, std::string_view outcome)
 {
+    if (m_kept) {
+        passOnKeptResponse(outcome);
+        return;
+    }
     if (m_attempts.responseStarted) {
         m_responder->abort();
         finish(0, outcome);
@@ -530,10 +522,9 @@
     recordUnanswered(m_state.crashes, m_plan.fingerprint);
     m_deadlineTimer.cancel();
     m_loadExchange = nullptr;
-    m_inactivityTimer.cancel();
-    m_reachabilityTimer.cancel();
-    m_reviewTimer.cancel();
+    stopAttemptTimers();
     m_exchange = nullptr;
+    dropKeptResponse(AttemptOutcome::Cancelled);
     reportFinish(m_state, m_request, m_plan,
                  { .status = status,
                    .outcome = outcome,
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -44,6 +44,8 @@
     // State of the attempt in progress.
     struct Attempt
     {
+        // Number of the attempt within its request.
+        int number = 0;
         kernel::UpstreamId upstream;
         kernel::UpstreamId process;
         kernel::Endpoint endpoint;
@@ -69,6 +71,16 @@
         bool writtenForWhile = false;
     };
 
+    // Response of a small model that is set aside while a larger model is asked.
+    struct KeptResponse
+    {
+        Attempt attempt;
+        std::unique_ptr<http::Exchange> exchange;
+        // What was received of the body.
+        std::string bytes;
+        bool isComplete = false;
+    };
+
     // One load query. Holds a copy of the upstream, because its registration may disappear
     // meanwhile.
     struct LoadQuery
@@ -119,24 +131,35 @@
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onResponseComplete();
     bool escalate();
+    void keepResponse(kernel::Instant latestStart);
+    // Returns whether the response of the attempt with this number is kept.
+    bool isKept(int attempt) const;
+    void onKeptBody(std::string_view piece);
+    void onKeptEnd(const kernel::Completion<kernel::Done> &outcome);
+    void onKeptResponseDue();
+    void passOnKeptResponse(std::string_view reason);
+    void dropKeptResponse(AttemptOutcome outcome);
+    void dropIncompleteKeptResponse();
     void deliverResponse();
     void startResponse();
     void recordFirstByte();
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void finishAttempt(AttemptOutcome outcome);
+    void stopAttemptTimers();
+    void recordOutcome(const Attempt &attempt, AttemptOutcome outcome);
     // Records the notices that the upstream of the attempt in progress gave in its response.
     void recordNotices(const ResponseHead &head);
     void recordNamedLimit(const ResponseHead &head);
     void updateLimit(const Upstream &upstream, std::optional<double> perSecond,
                      kernel::Instant sentAt);
-    bool isUpstreamLeaving() const;
+    bool isUpstreamLeaving(const kernel::UpstreamId &upstream) const;
     // Returns whether upstreams crash when they run the request.
     bool isPoison() const;
     // Records an attempt that finished without a response as evidence on crashes.
-    void recordPossibleCrash(AttemptOutcome outcome);
+    void recordPossibleCrash(const Attempt &attempt, AttemptOutcome outcome);
     void recordCompleteResponse();
-    void recordLost(bool mayBeComplete);
+    void recordLost(const Attempt &attempt, bool mayBeComplete);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
     void review(void (*update)(ResponseReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
@@ -172,6 +195,8 @@
     kernel::Instant m_loadQueryStartedAt{};
     std::unique_ptr<http::Exchange> m_loadExchange;
     std::unique_ptr<http::Exchange> m_exchange;
+    std::optional<KeptResponse> m_kept;
+    kernel::Timer m_keptTimer;
     EventSplitter m_splitter;
     // Id of the last event that was sent to the caller.
     std::optional<StreamEventId> m_lastEventId;
@@ -179,6 +204,7 @@
     std::string m_model;
     std::string m_lastUpstream;
     kernel::Instant m_firstByteAt{};
+    int m_lastAttemptNumber = 0;
     // Number of attempts whose connection failed.
     int m_failedConnects = 0;
     // A retry was taken from the budget and was not sent yet.
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -209,6 +209,7 @@
     }
     logChoice(choice);
     m_attempt = makeAttempt(upstream);
+    m_attempt->number = ++m_lastAttemptNumber;
     if (m_attempt->suspect)
         m_state.upstreamsWithSuspects.insert(upstream.id);
     m_triedUpstreams.insert(upstream.id);
@@ -220,9 +221,13 @@
     http::ClientHandlers handlers;
     handlers.onSent = [this] { onSent(); };
     handlers.onHead = [this](const http::ClientHead &head) { onHead(head); };
-    handlers.onBody = [this](std::string_view piece) { onBody(piece); };
-    handlers.onEnd
-        = [this](const kernel::Completion<kernel::Done> &outcome) { onExchangeEnd(outcome); };
+    const int number = m_attempt->number;
+    handlers.onBody = [this, number](std::string_view piece) {
+        isKept(number) ? onKeptBody(piece) : onBody(piece);
+    };
+    handlers.onEnd = [this, number](const kernel::Completion<kernel::Done> &outcome) {
+        isKept(number) ? onKeptEnd(outcome) : onExchangeEnd(outcome);
+    };
     m_exchange = m_state.send(m_state.wire.encode(m_request, makeAttemptContext(upstream)),
                               std::move(handlers));
     armReview();
--- a/src/forwarding/internal/request/jobwaiting.cpp
+++ b/src/forwarding/internal/request/jobwaiting.cpp
@@ -126,7 +126,8 @@
         armInactivityTimer(timeout - inactiveTime);
         return;
     }
-    if (!mayRetry(m_attempts) || timeLeft() < minAttemptTime)
+    // The time of the kept response bounds the wait for that of the larger model.
+    if (m_kept || !mayRetry(m_attempts) || timeLeft() < minAttemptTime)
         return;
     recordInactivity(inactiveTime);
     retryElsewhere("silent");
@@ -136,12 +137,14 @@
 // better than to end it.
 void Job::retryElsewhere(std::string_view detail)
 {
-    if (!isAnyUpstreamAvailable()
-        || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
-        armInactivityTimer(currentInactivityTimeout());
-        return;
+    if (!m_kept) {
+        if (!isAnyUpstreamAvailable()
+            || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
+            armInactivityTimer(currentInactivityTimeout());
+            return;
+        }
+        m_retryReserved = true;
     }
-    m_retryReserved = true;
     // The abandoned response counts against its version in a roll-out; otherwise a version that
     // never responds in time would not be detected.
     review(reviewAbandoned);
@@ -183,7 +186,7 @@
     const auto self = shared_from_this();
     const bool waits = m_attempt && m_exchange && m_attempt->sent && m_attempt->upstream == upstream
                        && now() - m_attempt->lastActivity >= reachabilityCheckDelay;
-    if (waits && mayRetry(m_attempts) && timeLeft() >= minAttemptTime)
+    if (waits && (mayRetry(m_attempts) || m_kept) && timeLeft() >= minAttemptTime)
         retryElsewhere("unreachable");
 }
 
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -37,6 +37,7 @@
     RolloutHalted = 3104,
     RolloutAdvanced = 3105,
     SessionPinned = 3106,
+    CascadeAbandoned = 3108,
     SessionRebound = 3107,
     UpstreamEjected = 3201,
     UpstreamReturned = 3202,
