--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -17,6 +17,7 @@
 #include "forwarding/internal/limits/upstreamlimit.h"
 #include "forwarding/internal/limits/upstreamnotices.h"
 #include "forwarding/internal/placement/engineload.h"
+#include "forwarding/internal/placement/firsteventestimate.h"
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
--- a/src/forwarding/internal/placement/modelchoice.cpp
+++ b/src/forwarding/internal/placement/modelchoice.cpp
@@ -18,6 +18,9 @@
 // Share of late requests from which a service counts as saturated.
 constexpr double lateFractionWhenSaturated = 0.1;
 
+// Saturation of the engines above which no model but the largest is asked for a better response.
+constexpr double maxSaturationForMiddle = 0.2;
+
 // Cost of a prompt token as a fraction of the cost of a generated token.
 constexpr double promptTokenCost = 0.25;
 
@@ -34,6 +37,24 @@
     return total > 0 ? expectedOutput(work) / total : 0;
 }
 
+// Returns the largest model above the current one that is expected to respond in time; empty if
+// there is none. A middle model improves few responses, so it is asked only while the engines have
+// time for it.
+std::string largestInTime(const Route &route, const std::string &currentModel,
+                          kernel::Duration objectiveLeft, double engineSaturation,
+                          const ExpectedFirstEvents &expected)
+{
+    for (auto model = route.models.rbegin(); model != route.models.rend(); ++model) {
+        const bool isLargest = model == route.models.rbegin();
+        if (*model == currentModel || (!isLargest && engineSaturation > maxSaturationForMiddle))
+            break;
+        const auto known = expected.find(*model);
+        if (known == expected.end() || known->second <= objectiveLeft)
+            return *model;
+    }
+    return {};
+}
+
 } // namespace
 
 void recordLateness(LateRequestRate &lateRequestRate, bool late)
@@ -54,7 +75,8 @@
 
 std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
                        const std::string &currentModel, std::optional<int> confidence,
-                       int sendsLeft, kernel::Duration objectiveLeft, double engineSaturation)
+                       int sendsLeft, kernel::Duration objectiveLeft, double engineSaturation,
+                       const ExpectedFirstEvents &expected)
 {
     if (route.models.empty() || currentModel == route.models.back() || sendsLeft <= 0
         || !confidence)
@@ -66,7 +88,7 @@
     if (kernel::toSeconds(objectiveLeft)
         < rules.minObjectiveFractionLeft * kernel::toSeconds(route.latencyObjective))
         return {};
-    return route.models.back();
+    return largestInTime(route, currentModel, objectiveLeft, engineSaturation, expected);
 }
 
 int engineUrgency(int routeRank, int workspaceRank)
--- a/src/forwarding/internal/placement/modelchoice.h
+++ b/src/forwarding/internal/placement/modelchoice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -43,12 +44,19 @@
 /// named.
 std::string firstModel(const Route &route, const ModelWork &work);
 
+/// Expected times from a request's start at a model to the first event of its response; models
+/// without an estimate have no entry.
+using ExpectedFirstEvents = std::map<std::string, kernel::Duration>;
+
 /// Returns the model to escalate to before any of the response was sent to the caller; empty if the
-/// response is kept. `sendsLeft` is the number of sends that the request has left,
-/// `engineSaturation` is the value of saturation().
+/// response is kept. This is the largest model, unless that is expected to respond only after the
+/// latency objective: then it is a smaller one that responds in time, if the engines are not busy.
+/// `sendsLeft` is the number of sends that the request has left, `engineSaturation` is the value of
+/// saturation().
 std::string escalateTo(const Route &route, const ModelRules &rules, const ModelWork &work,
                        const std::string &currentModel, std::optional<int> confidence,
-                       int sendsLeft, kernel::Duration objectiveLeft, double engineSaturation);
+                       int sendsLeft, kernel::Duration objectiveLeft, double engineSaturation,
+                       const ExpectedFirstEvents &expected = {});
 
 /// Returns the urgency of a request at an engine, 0 (most urgent) to 9. The route's rank counts
 /// more than the workspace's, because the route's objective states how soon the response is wanted;
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -131,6 +131,8 @@
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onResponseComplete();
     bool escalate();
+    ExpectedFirstEvents expectedFirstEvents() const;
+    void recordFirstEventTime();
     void keepResponse(kernel::Instant latestStart);
     // Returns whether the response of the attempt with this number is kept.
     bool isKept(int attempt) const;
--- a/src/forwarding/internal/request/jobescalation.cpp
+++ b/src/forwarding/internal/request/jobescalation.cpp
@@ -28,7 +28,8 @@
     const std::string larger
         = escalateTo(m_plan.route, m_state.options.models, *m_request.work, m_model,
                      m_attempt->head->confidence, m_attempts.maxAttempts - m_attempts.sent,
-                     objectiveEnd - now(), saturation(m_state.lateRequestRates[m_plan.service]));
+                     objectiveEnd - now(), saturation(m_state.lateRequestRates[m_plan.service]),
+                     expectedFirstEvents());
     if (larger.empty() || !isAnyUpstreamAvailable()
         || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
         return false;
@@ -48,6 +49,28 @@
     return true;
 }
 
+ExpectedFirstEvents Job::expectedFirstEvents() const
+{
+    ExpectedFirstEvents expected;
+    for (const std::string &model : m_plan.route.models) {
+        const auto known = m_state.firstEventEstimates.find({ m_plan.service, model });
+        if (known == m_state.firstEventEstimates.end())
+            continue;
+        if (const auto time
+            = expectedFirstEvent(known->second, m_request.work->promptTokens, now()))
+            expected.emplace(model, *time);
+    }
+    return expected;
+}
+
+void Job::recordFirstEventTime()
+{
+    if (!m_request.work)
+        return;
+    recordFirstEvent(m_state.firstEventEstimates[{ m_plan.service, m_attempt->model }],
+                     m_request.work->promptTokens, now() - m_attempt->startedAt, now());
+}
+
 // Sets the response in progress aside until `latestStart`, when it is passed on unless the response
 // of the larger model has begun.
 void Job::keepResponse(kernel::Instant latestStart)
@@ -108,8 +131,12 @@
 void Job::passOnKeptResponse(std::string_view reason)
 {
     const auto self = shared_from_this();
-    if (m_attempt && m_exchange)
+    if (m_attempt && m_exchange) {
+        // The response would have taken at least this long.
+        if (m_attempt->sent && !m_attempt->head)
+            recordFirstEventTime();
         finishAttempt(AttemptOutcome::Cancelled);
+    }
     stopAttemptTimers();
     m_keptTimer.cancel();
     m_loadExchange = nullptr;
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -10,6 +10,7 @@
 #include "forwarding/internal/limits/limitsharing.h"
 #include "forwarding/internal/limits/retrybudget.h"
 #include "forwarding/internal/placement/engineload.h"
+#include "forwarding/internal/placement/firsteventestimate.h"
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
@@ -93,6 +94,7 @@
     std::map<kernel::ServiceName, LaneWork> laneWork;
     std::map<kernel::ServiceName, AverageLoad> averageLoads;
     LatencyEstimates latencyEstimates;
+    FirstEventEstimates firstEventEstimates;
     std::map<kernel::ServiceName, LateRequestRate> lateRequestRates;
     std::map<kernel::ServiceName, RetryBudget> retryBudgets;
     /// Exponentially weighted moving average of each service's failure rate.
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -335,6 +335,40 @@
     EXPECT_EQ(firstModel(routeWithModels, { "own", 1, 1, {} }), "own");
 }
 
+// Guards against a sound response that is given up for one that can't come in time.
+TEST(ModelChoice, AsksLargestModelThatRespondsWithinObjective)
+{
+    Route routeWithModels = route("a", "/");
+    routeWithModels.models = { "small", "middle", "large" };
+    routeWithModels.latencyObjective = 2000ms;
+    const ModelWork work{ "", 54000, 300, {} };
+    const auto escalate = [&](const ExpectedFirstEvents &expected, double engineSaturation) {
+        return escalateTo(routeWithModels, {}, work, "small", 10, 2, 1500ms, engineSaturation,
+                          expected);
+    };
+    EXPECT_EQ(escalate({}, 0), "large") << "nothing is known of its time";
+    EXPECT_EQ(escalate({ { "large", 1400ms } }, 1), "large");
+    EXPECT_EQ(escalate({ { "large", 1600ms }, { "middle", 500ms } }, 0), "middle");
+    EXPECT_EQ(escalate({ { "large", 1600ms }, { "middle", 500ms } }, 1), "") << "engines are busy";
+    EXPECT_EQ(escalate({ { "large", 1600ms }, { "middle", 1700ms } }, 0), "");
+}
+
+TEST(ModelChoice, FirstEventIsExpectedByPromptLength)
+{
+    FirstEventEstimate estimate;
+    const kernel::Instant now{ 1000s };
+    EXPECT_FALSE(expectedFirstEvent(estimate, 1000, now));
+    for (int i = 0; i < 40; ++i) {
+        const std::int64_t tokens = 1000 * (1 + i % 10);
+        recordFirstEvent(estimate, tokens, 50ms + tokens * 30us, now);
+    }
+    EXPECT_NEAR(kernel::toSeconds(expectedFirstEvent(estimate, 54000, now).value_or(0ms)), 1.67,
+                0.02);
+    EXPECT_NEAR(kernel::toSeconds(expectedFirstEvent(estimate, 500, now).value_or(0ms)), 0.065,
+                0.01);
+    EXPECT_FALSE(expectedFirstEvent(estimate, 500, now + 10s)) << "the load may have changed";
+}
+
 // Under load, an uncertain response in time is worth more than a confident one that delays other
 // requests.
 TEST(ModelChoice, EscalatesLessWhileEnginesAreBusy)
