--- a/src/forwarding/forwarding.h
+++ b/src/forwarding/forwarding.h
@@ -21,6 +21,7 @@
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
+#include "forwarding/internal/queueing/servicequeue.h"
 #include "forwarding/internal/request/attemptstate.h"
 #include "forwarding/internal/request/eventsplitter.h"
 #include "forwarding/internal/request/inactivitytimeout.h"
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -14,6 +14,8 @@
 constexpr kernel::Duration tickInterval = std::chrono::milliseconds(100);
 // Interval at which the shares of limited upstreams are computed anew.
 constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
+// Interval at which the numbers of requests that services take are computed anew.
+constexpr kernel::Duration capacityUpdateInterval = std::chrono::milliseconds(500);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
 // Routers request the same step one after the other, so that usually only one of them writes.
@@ -88,11 +90,41 @@
 void Forwarder::handle(Request request, std::shared_ptr<http::Responder> responder)
 {
     const auto job = std::make_shared<Job>(m_state, std::move(request), std::move(responder),
-                                           [this](const Job *done) { m_jobs.erase(done); });
+                                           [this](const Job *done) { onJobDone(done); });
     m_jobs.emplace(job.get(), job);
     job->start();
 }
 
+void Forwarder::onJobDone(const Job *job)
+{
+    m_jobs.erase(job);
+    // Requests that start may end at once, so the next ones are released by the loop.
+    if (countQueued(m_state.queues) > 0)
+        m_releaseTimer
+            = kernel::Timer(m_state.scheduler, kernel::Duration::zero(), [this] { releaseJobs(); });
+}
+
+void Forwarder::releaseJobs()
+{
+    for (const auto &released : releaseQueued(m_state.queues, m_state.scheduler.now())) {
+        // A request may have ended since it was released.
+        const auto job = m_state.queues.waiting.extract(released.ask.request);
+        if (!job.empty())
+            job.mapped()(released);
+    }
+}
+
+void Forwarder::reviewQueues()
+{
+    const kernel::Instant now = m_state.scheduler.now();
+    if (now - m_capacitiesUpdatedAt >= capacityUpdateInterval) {
+        m_capacitiesUpdatedAt = now;
+        updateQueueCapacities(m_state);
+    }
+    if (countQueued(m_state.queues) > 0)
+        releaseJobs();
+}
+
 void Forwarder::setConfiguration(std::shared_ptr<const Configuration> configuration,
                                  kernel::Revision revision)
 {
@@ -275,6 +307,7 @@
     probeUnreachable();
     reviewCrashes();
     reviewLimits();
+    reviewQueues();
     reviewRollouts();
     armTick();
 }
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -107,6 +107,9 @@
     void reviewCrashes();
     void reviewBlamedParts();
     void reviewLimits();
+    void reviewQueues();
+    void releaseJobs();
+    void onJobDone(const Job *job);
     void onLimitsEnded(const std::vector<kernel::UpstreamId> &processes);
     void endCrashingRequests();
     std::vector<std::shared_ptr<Job>> copyJobs() const;
@@ -130,6 +133,8 @@
     LimitReportPublisher m_publishLimitReport;
     LimitReportRemover m_removeLimitReport;
     kernel::Instant m_limitsAppliedAt{};
+    kernel::Instant m_capacitiesUpdatedAt{};
+    kernel::Timer m_releaseTimer;
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
     std::map<kernel::ServiceName, kernel::Instant> m_rolloutWriteDueAt;
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -62,7 +62,7 @@
     m_deadlineTimer = kernel::Timer(m_state.scheduler, m_responseDeadline - m_request.arrived,
                                     [this] { onDeadline(); });
     recordRequest(m_state.retryBudgets[m_plan.service], m_state.options.retries, now());
-    startNextAttempt();
+    startWhenAdmitted();
 }
 
 kernel::Duration Job::timeLeft() const
@@ -319,6 +319,9 @@
     if (countsForFailureRate)
         serviceFailureRate += failureRateWeight
                               * ((outcome == AttemptOutcome::Failed ? 1 : 0) - serviceFailureRate);
+    const auto held = m_state.tokensInFlight.find(attempt.upstream);
+    if (held != m_state.tokensInFlight.end() && (held->second -= attempt.tokens) <= 0)
+        m_state.tokensInFlight.erase(held);
     const auto record = m_state.records.find(attempt.upstream);
     if (record == m_state.records.end())
         return;
@@ -451,6 +454,8 @@
         return;
     }
     if (!mayRetry(m_attempts)) {
+        if (failure == AttemptFailure::Refused && waitForRoom())
+            return;
         finishWithoutResponse(EndReason::Failed, toString(failure));
         return;
     }
@@ -524,8 +529,10 @@
     m_deadlineTimer.cancel();
     m_loadExchange = nullptr;
     stopAttemptTimers();
+    m_roomTimer.cancel();
     m_exchange = nullptr;
     dropKeptResponse(AttemptOutcome::Cancelled);
+    leaveServiceQueue();
     reportFinish(m_state, m_request, m_plan,
                  { .status = status,
                    .outcome = outcome,
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -54,6 +54,8 @@
         std::string model;
         // Expected work in units of one prompt token; 1 without a model.
         double work = 1;
+        // Expected tokens in the engine's memory.
+        std::int64_t tokens = 0;
         kernel::Instant startedAt{};
         kernel::Instant lastActivity{};
         bool sent = false;
@@ -97,6 +99,16 @@
     std::optional<StreamEventId> lastReceivedEventId() const;
     VersionChoice versionForSession() const;
     bool isAnyUpstreamAvailable() const;
+    // Starts the request, or lets it wait in the queue of its service.
+    void startWhenAdmitted();
+    void onReleased(const admission::ReleasedRequest &released);
+    void refuseAdmission(const admission::AdmissionDecision &decision, kernel::Duration waited);
+    void leaveServiceQueue();
+    bool waitForRoom();
+    std::vector<const Upstream *> allowedCandidates(VersionChoice version) const;
+    // Expected tokens that the request will occupy in an engine's memory at its end.
+    std::int64_t memoryNeed() const;
+    bool hasRoom(const Upstream &upstream) const;
     void startNextAttempt();
     std::vector<UpstreamChoice> selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                 UpstreamQuery query);
@@ -191,6 +203,13 @@
     kernel::Timer m_reviewTimer;
     AttemptState m_attempts;
     std::set<kernel::UpstreamId> m_triedUpstreams;
+    // Upstreams that the request was sent to.
+    std::set<kernel::UpstreamId> m_sentUpstreams;
+    // Id in the queue of the service; empty if the request is not in it.
+    kernel::RequestId m_ticket;
+    kernel::Timer m_roomTimer;
+    // Number of times that the request waited because upstreams were full.
+    int m_fullRefusals = 0;
     std::optional<Attempt> m_attempt;
     std::vector<LoadQuery> m_loadQueries;
     std::size_t m_finishedLoadQueries = 0;
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -64,7 +64,7 @@
     query.longObjectiveFraction = longObjectiveFraction(m_state.laneWork[m_plan.service]);
     query.now = now();
     const auto choices
-        = selectUpstreams(reachableCandidates(m_state, m_plan.service, version), query);
+        = selectUpstreams(allowedCandidates(version), query);
     if (choices.empty())
         finishWithoutResponse(EndReason::NoCapacity, "no_upstream");
     else if (choices.size() == 1)
@@ -86,14 +86,21 @@
         if (!choices.empty())
             return choices;
     }
-    query.exclude = &m_triedUpstreams;
+    std::set<kernel::UpstreamId> excluded = m_triedUpstreams;
+    for (const Upstream *candidate : candidates) {
+        if (!hasRoom(*candidate))
+            excluded.insert(candidate->id);
+    }
+    query.exclude = &excluded;
     auto choices = chooseUpstreams(candidates, m_state.records, query,
                                    enginesToQuery(candidates.size()), m_state.random);
     removeLimitedFromLoadQueries(choices);
     if (choices.empty() && !m_triedUpstreams.empty()) {
         // All candidates were tried; an upstream that refused the request, or whose connection
         // failed, may accept the request now.
-        query.exclude = nullptr;
+        std::erase_if(excluded, [this](const kernel::UpstreamId &upstream) {
+            return m_triedUpstreams.contains(upstream);
+        });
         choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
     }
     return choices;
@@ -139,6 +146,7 @@
     attempt.review.startedAt = now();
     attempt.model = m_model;
     attempt.work = m_request.work ? expectedWork(*m_request.work) : 1;
+    attempt.tokens = memoryNeed();
     attempt.startedAt = now();
     attempt.lastActivity = now();
     attempt.mayHaveRunBefore = m_attempts.mayHaveRun;
@@ -215,6 +223,8 @@
     m_triedUpstreams.insert(upstream.id);
     m_lastUpstream = upstream.id.str();
     recordStart(record, m_attempt->work);
+    if (m_attempt->tokens > 0)
+        m_state.tokensInFlight[upstream.id] += m_attempt->tokens;
     if (record.notices.pace)
         recordPacedRequest(*record.notices.pace, now());
     m_splitter.reset();
@@ -258,6 +268,7 @@
         return;
     }
     recordSent(m_attempts);
+    m_sentUpstreams.insert(m_attempt->upstream);
     recordConnectTime(m_state, now() - m_attempt->startedAt);
     m_retryReserved = false;
     m_attempt->sent = true;
--- a/src/forwarding/internal/request/requestreport.cpp
+++ b/src/forwarding/internal/request/requestreport.cpp
@@ -159,4 +159,38 @@
                        { "prompt_part", blamed ? blamed->part : "" } });
 }
 
+void logAdmission(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                  const admission::AdmissionDecision &decision, kernel::Duration waited)
+{
+    const std::string_view outcome = admission::toString(decision.outcome);
+    const std::string_view reason = admission::toString(decision.reason);
+    state.metrics.admissions(outcome, reason).add();
+    if (decision.outcome != admission::AdmissionOutcome::Queued)
+        state.metrics.queueTime().add(waited);
+    kernel::logEvent(kernel::EventId::AdmissionDecided,
+                     { { "request", request.id },
+                       { "route", plan.route.name },
+                       { "service", plan.service },
+                       { "outcome", outcome },
+                       { "reason", reason },
+                       { "rank", plan.effectiveRank },
+                       { "waited_ms", kernel::toMilliseconds(waited) },
+                       { "expected_ms", kernel::toMilliseconds(decision.expectedWait) },
+                       { "retry_ms", kernel::toMilliseconds(decision.retryAfter) } });
+}
+
+void logWaitForRoom(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                    kernel::Duration delay)
+{
+    state.metrics.admissions("queued", "upstreams_full").add();
+    kernel::logEvent(kernel::EventId::AdmissionDecided,
+                     { { "request", request.id },
+                       { "route", plan.route.name },
+                       { "service", plan.service },
+                       { "outcome", "queued" },
+                       { "reason", "upstreams_full" },
+                       { "rank", plan.effectiveRank },
+                       { "expected_ms", kernel::toMilliseconds(delay) } });
+}
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/request/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -53,4 +53,13 @@
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
 
+/// Logs and counts that a request waits for room at its service, starts after it waited, or is
+/// refused. `waited` is the time that it waited in the queue.
+void logAdmission(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                  const admission::AdmissionDecision &decision, kernel::Duration waited);
+
+/// Logs and counts that a request waits to be sent again to upstreams that refused it as full.
+void logWaitForRoom(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                    kernel::Duration delay);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -55,6 +55,21 @@
                             { { "what", std::string(kind) } });
 }
 
+metrics::Counter &ForwardingMetrics::admissions(std::string_view outcome, std::string_view reason)
+{
+    return registry.counter("acaciasail_admissions_total",
+                            "Requests that waited in the router for room at upstreams, or were "
+                            "refused because of it",
+                            { { "outcome", std::string(outcome) },
+                              { "reason", std::string(reason) } });
+}
+
+metrics::TimeHistogram &ForwardingMetrics::queueTime()
+{
+    return registry.histogram("acaciasail_queue_seconds",
+                              "Time that requests waited in the router for room at upstreams", {});
+}
+
 metrics::TimeHistogram &ForwardingMetrics::firstByte(const std::string &kind)
 {
     return registry.histogram("acaciasail_first_byte_seconds",
@@ -134,6 +149,33 @@
     return counts;
 }
 
+void updateQueueCapacities(ForwardingState &state)
+{
+    if (!state.directory.configuration)
+        return;
+    const kernel::Instant now = state.scheduler.now();
+    std::map<kernel::ServiceName, std::int64_t> capacities;
+    for (const auto &[name, service] : state.directory.configuration->services) {
+        if (service.memoryTokens == 0)
+            capacities[name] = 0;
+    }
+    for (const auto &[id, known] : state.directory.upstreams) {
+        const auto capacity = capacities.find(known.entry.service);
+        if (capacity == capacities.end() || known.entry.draining
+            || state.directory.evacuated.contains(known.entry.dataCentre))
+            continue;
+        const auto record = state.records.find(id);
+        const bool isAvailable
+            = record == state.records.end()
+              || (!record->second.unreachable
+                  && availabilityOf(record->second.notices, now) != Availability::Unavailable);
+        if (isAvailable)
+            capacity->second += maxInFlight(known.entry.slots);
+    }
+    for (const auto &[name, capacity] : capacities)
+        setQueueCapacity(state.queues, name, capacity);
+}
+
 void recordConnectTime(ForwardingState &state, kernel::Duration connectTime)
 {
     state.slowestConnectTime
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -14,6 +14,7 @@
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
+#include "forwarding/internal/queueing/servicequeue.h"
 #include "forwarding/internal/request/inactivitytimeout.h"
 #include "forwarding/internal/rollouts/rolloutplan.h"
 #include "metrics/metrics.h"
@@ -62,6 +63,8 @@
     metrics::Counter &crashes();
     metrics::Counter &blamedParts();
     metrics::Counter &notices(std::string_view kind);
+    metrics::Counter &admissions(std::string_view outcome, std::string_view reason);
+    metrics::TimeHistogram &queueTime();
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &responseTime(const std::string &kind);
 };
@@ -97,6 +100,10 @@
     FirstEventEstimates firstEventEstimates;
     std::map<kernel::ServiceName, LateRequestRate> lateRequestRates;
     std::map<kernel::ServiceName, RetryBudget> retryBudgets;
+    ServiceQueues queues;
+    /// Expected tokens in memory of this router's requests in flight, by engine: those of the
+    /// prompts and the output limits. Engines without such requests have no entry.
+    std::map<kernel::UpstreamId, std::int64_t> tokensInFlight;
     /// Exponentially weighted moving average of each service's failure rate.
     std::map<kernel::ServiceName, double> failureRates;
     std::map<kernel::ServiceName, RolloutEvidence> rolloutEvidence;
@@ -128,6 +135,10 @@
 std::optional<kernel::Duration> remainingCooldown(const ForwardingState &state,
                                                   const kernel::ServiceName &service);
 
+/// Sets how many of this router's requests each plain service's upstreams take: those that are
+/// configured, can be reached, and state how many requests they run at once.
+void updateQueueCapacities(ForwardingState &state);
+
 /// Returns the number of ready upstreams of the roll-out's service: first those of the target
 /// version, then the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
