--- a/src/forwarding/internal/queueing/servicequeue.cpp
+++ b/src/forwarding/internal/queueing/servicequeue.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
+constexpr std::int64_t unlimitedCapacity = 1'000'000'000;
 // Requests in flight beyond an upstream's slots, as a fraction of the slots.
 constexpr int slotsPerExtraRequest = 4;
-// First delay before a request is sent again to an upstream that was full; each further refusal
-// doubles it up to the maximum.
+// First delay before upstreams that had no room are tried again; it doubles up to the maximum.
 constexpr kernel::Duration minRoomDelay = std::chrono::milliseconds(20);
 constexpr kernel::Duration maxRoomDelay = std::chrono::milliseconds(200);
 // Delay as a fraction of the time left from which the request is refused instead, so that its
@@ -20,8 +20,8 @@
 constexpr double retrySpreadSeconds = 0.1;
 constexpr double retrySpreadFraction = 0.5;
 
-// Plain requests run for milliseconds, so ranks get their floors, and callers their refusals, sooner
-// than work at a model does.
+// Plain requests run for milliseconds, so ranks get their floors, and callers their refusals,
+// sooner than work at a model does.
 admission::AdmissionConfig makeConfig()
 {
     admission::AdmissionConfig config;
@@ -71,13 +71,15 @@
 void setQueueCapacity(ServiceQueues &queues, const kernel::ServiceName &service,
                       std::int64_t requests)
 {
-    admission::setCapacity(queues.admission, poolOf(service), requests);
+    // Without upstreams nobody waits for room: each request finds out at once that there are none.
+    admission::setCapacity(queues.admission, poolOf(service),
+                           requests > 0 ? requests : unlimitedCapacity);
 }
 
 bool hasQueue(const ServiceQueues &queues, const kernel::ServiceName &service)
 {
     const auto pool = queues.admission.pools.find(poolOf(service));
-    return pool != queues.admission.pools.end() && pool->second.capacity > 0;
+    return pool != queues.admission.pools.end() && pool->second.capacity < unlimitedCapacity;
 }
 
 kernel::RequestId nextTicket(ServiceQueues &queues)
@@ -99,8 +101,7 @@
                               .pool = poolOf(entry.service),
                               .rank = toRank(entry.rank),
                               .arrived = entry.arrived,
-                              .deadline = entry.deadline,
-                              .expectedRunTime = entry.expectedRunTime },
+                              .deadline = entry.deadline },
                             now);
 }
 
@@ -124,16 +125,14 @@
     return static_cast<std::int64_t>(queues.waiting.size());
 }
 
-std::optional<kernel::Duration> roomRetryDelay(int refusals, kernel::Duration timeLeft,
-                                               kernel::Random &random)
+std::optional<kernel::Duration> roomRetryDelay(int tries, kernel::Duration timeLeft)
 {
     constexpr int maxDoublings = 8;
     const kernel::Duration delay
-        = std::min(maxRoomDelay, minRoomDelay * (1 << std::clamp(refusals - 1, 0, maxDoublings)));
-    const kernel::Duration spread = kernel::scaled(delay, 0.5 + kernel::uniform01(random));
-    if (spread > kernel::scaled(timeLeft, maxDelayFraction))
+        = std::min(maxRoomDelay, minRoomDelay * (1 << std::clamp(tries - 1, 0, maxDoublings)));
+    if (delay > kernel::scaled(timeLeft, maxDelayFraction))
         return std::nullopt;
-    return spread;
+    return delay;
 }
 
 kernel::Duration spreadRetryAfter(kernel::Duration wait, kernel::Random &random)
--- a/src/forwarding/internal/queueing/servicequeue.h
+++ b/src/forwarding/internal/queueing/servicequeue.h
@@ -22,8 +22,6 @@
     kernel::Instant arrived{};
     /// Time by which the response must have been sent.
     kernel::Instant deadline{};
-    /// Expected time from the start to the response; zero if unknown.
-    kernel::Duration expectedRunTime{};
 };
 
 /// Requests that run at, or wait in this router for, services whose upstreams run a fixed number of
@@ -45,8 +43,8 @@
 /// its slots and a few more, which start while a response is on its way.
 int maxInFlight(int slots);
 
-/// Sets how many of this router's requests the service's upstreams take; 0 if none can be reached,
-/// and then no request waits for them.
+/// Sets how many of this router's requests the service's upstreams take. At 0, when none can be
+/// reached, all requests start.
 void setQueueCapacity(ServiceQueues &queues, const kernel::ServiceName &service,
                       std::int64_t requests);
 
@@ -71,10 +69,9 @@
 /// Returns the number of requests that wait.
 std::int64_t countQueued(const ServiceQueues &queues);
 
-/// Returns the time after which a request that upstreams refused as full, `refusals` times, is sent
-/// again; nothing if too little of its time would be left.
-std::optional<kernel::Duration> roomRetryDelay(int refusals, kernel::Duration timeLeft,
-                                               kernel::Random &random);
+/// Returns the time after which a request that found no room at upstreams, for the `tries`th time,
+/// is tried again; nothing if too little of its time would be left.
+std::optional<kernel::Duration> roomRetryDelay(int tries, kernel::Duration timeLeft);
 
 /// Returns the time after which the caller of a refused request should return: at least `wait`,
 /// with a random part, so that callers who are refused together don't return together.
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -88,6 +88,11 @@
                     head.isReencoded ? "unexpected content encoding" : "no proof header");
         return;
     }
+    if (m_kept && head.status >= firstErrorStatus) {
+        review(reviewFailure);
+        failAttempt(AttemptFailure::ServerError, std::to_string(head.status));
+        return;
+    }
     const bool isSuccess = head.status < firstRedirectStatus;
     if (isSuccess && !head.isEventStream && m_plan.route.kind == RequestKind::Streaming
         && !m_attempts.responseStarted) {
@@ -346,16 +351,16 @@
 
 void Job::recordLost(const Attempt &attempt, bool mayBeComplete)
 {
-    recordLostRun(
-        m_state.crashes,
-        { .request = m_request.id,
-          .fingerprint = m_plan.fingerprint,
-          .sharedParts = isUpstreamLeaving(attempt.upstream) ? std::vector<PromptPartKey>() : m_plan.sharedParts,
-          .upstream = attempt.upstream,
-          .process = attempt.process,
-          .startedAt = attempt.startedAt,
-          .lostAt = now(),
-          .mayBeComplete = mayBeComplete });
+    recordLostRun(m_state.crashes, { .request = m_request.id,
+                                     .fingerprint = m_plan.fingerprint,
+                                     .sharedParts = isUpstreamLeaving(attempt.upstream)
+                                                        ? std::vector<PromptPartKey>()
+                                                        : m_plan.sharedParts,
+                                     .upstream = attempt.upstream,
+                                     .process = attempt.process,
+                                     .startedAt = attempt.startedAt,
+                                     .lostAt = now(),
+                                     .mayBeComplete = mayBeComplete });
     m_state.upstreamsToProbe.insert(attempt.upstream);
 }
 
@@ -454,7 +459,7 @@
         return;
     }
     if (!mayRetry(m_attempts)) {
-        if (failure == AttemptFailure::Refused && waitForRoom())
+        if (failure == AttemptFailure::Refused && waitForFullUpstreams())
             return;
         finishWithoutResponse(EndReason::Failed, toString(failure));
         return;
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -104,11 +104,14 @@
     void onReleased(const admission::ReleasedRequest &released);
     void refuseAdmission(const admission::AdmissionDecision &decision, kernel::Duration waited);
     void leaveServiceQueue();
-    bool waitForRoom();
+    bool waitForFullUpstreams();
+    std::optional<kernel::Duration> roomDelay() const;
+    bool waitForRoom(std::string_view reason);
     std::vector<const Upstream *> allowedCandidates(VersionChoice version) const;
     // Expected tokens that the request will occupy in an engine's memory at its end.
     std::int64_t memoryNeed() const;
-    bool hasRoom(const Upstream &upstream) const;
+    std::set<kernel::UpstreamId>
+    upstreamsWithoutRoom(const std::vector<const Upstream *> &candidates) const;
     void startNextAttempt();
     std::vector<UpstreamChoice> selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                 UpstreamQuery query);
@@ -128,8 +131,8 @@
     void startAttempt(const UpstreamChoice &choice);
     // Ends the request if its caller has closed the connection; returns whether it did.
     bool endIfCallerLeft();
-    // Returns whether the attempt in progress has waited too long to be sent as it was encoded.
-    bool isAttemptStale() const;
+    // Returns whether the process was held up between the start of the attempt and its connection.
+    bool wasHeldUp() const;
     void restartAttempt();
     void onSent();
     void onHead(const http::ClientHead &clientHead);
@@ -208,8 +211,8 @@
     // Id in the queue of the service; empty if the request is not in it.
     kernel::RequestId m_ticket;
     kernel::Timer m_roomTimer;
-    // Number of times that the request waited because upstreams were full.
-    int m_fullRefusals = 0;
+    // Number of times that the request waited for room at upstreams.
+    int m_waitsForRoom = 0;
     std::optional<Attempt> m_attempt;
     std::vector<LoadQuery> m_loadQueries;
     std::size_t m_finishedLoadQueries = 0;
@@ -230,6 +233,8 @@
     int m_failedConnects = 0;
     // A retry was taken from the budget and was not sent yet.
     bool m_retryReserved = false;
+    // An attempt was started anew because the process was held up.
+    bool m_restarted = false;
     bool m_escalated = false;
     bool m_done = false;
 };
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -17,6 +17,9 @@
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
 // The connect timeout is at most the time left divided by this number.
 constexpr int connectTimeoutDivisor = 3;
+// Multiple of the connect timeout after which a connection that still succeeds shows that the
+// process was held up; timers fire a little late at all times.
+constexpr double heldUpConnectTimeouts = 1.5;
 // Number of failed connects after which a request is refused.
 constexpr int maxFailedConnects = 4;
 
@@ -63,8 +66,11 @@
     query.lane = m_plan.lane;
     query.longObjectiveFraction = longObjectiveFraction(m_state.laneWork[m_plan.service]);
     query.now = now();
-    const auto choices
-        = selectUpstreams(allowedCandidates(version), query);
+    const auto candidates = allowedCandidates(version);
+    const auto choices = selectUpstreams(candidates, query);
+    const bool mayWait = choices.empty() && !m_kept && !upstreamsWithoutRoom(candidates).empty();
+    if (mayWait && waitForRoom("no_room"))
+        return;
     if (choices.empty())
         finishWithoutResponse(EndReason::NoCapacity, "no_upstream");
     else if (choices.size() == 1)
@@ -78,19 +84,17 @@
 std::vector<UpstreamChoice> Job::selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                  UpstreamQuery query)
 {
+    std::set<kernel::UpstreamId> excluded = upstreamsWithoutRoom(candidates);
+    excluded.insert(m_triedUpstreams.begin(), m_triedUpstreams.end());
     if (countCrashes(m_state.crashes, m_plan.fingerprint) > 0) {
-        std::set<kernel::UpstreamId> excluded = m_triedUpstreams;
-        excluded.insert(m_state.upstreamsWithSuspects.begin(), m_state.upstreamsWithSuspects.end());
-        query.exclude = &excluded;
+        std::set<kernel::UpstreamId> withSuspects = excluded;
+        withSuspects.insert(m_state.upstreamsWithSuspects.begin(),
+                            m_state.upstreamsWithSuspects.end());
+        query.exclude = &withSuspects;
         auto choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
         if (!choices.empty())
             return choices;
     }
-    std::set<kernel::UpstreamId> excluded = m_triedUpstreams;
-    for (const Upstream *candidate : candidates) {
-        if (!hasRoom(*candidate))
-            excluded.insert(candidate->id);
-    }
     query.exclude = &excluded;
     auto choices = chooseUpstreams(candidates, m_state.records, query,
                                    enginesToQuery(candidates.size()), m_state.random);
@@ -98,9 +102,7 @@
     if (choices.empty() && !m_triedUpstreams.empty()) {
         // All candidates were tried; an upstream that refused the request, or whose connection
         // failed, may accept the request now.
-        std::erase_if(excluded, [this](const kernel::UpstreamId &upstream) {
-            return m_triedUpstreams.contains(upstream);
-        });
+        excluded = upstreamsWithoutRoom(candidates);
         choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
     }
     return choices;
@@ -210,8 +212,9 @@
     }
     const Upstream &upstream = *choice.upstream;
     UpstreamRecord &record = m_state.records[upstream.id];
-    // The upstream may have become unavailable while other engines were queried for their load.
-    if (availabilityOf(record.notices, now()) == Availability::Unavailable) {
+    // The upstream may have become unavailable or full while engines were queried for their load.
+    if (availabilityOf(record.notices, now()) == Availability::Unavailable
+        || upstreamsWithoutRoom({}).contains(upstream.id)) {
         startNextAttempt();
         return;
     }
@@ -243,19 +246,20 @@
     armReview();
 }
 
-// A connection that took longer than its timeout shows that the process was held up. The caller may
-// have left meanwhile, and the encoded request states more time than is left.
-bool Job::isAttemptStale() const
+// A connection that took far longer than its timeout shows that the process was held up. The caller
+// may have left meanwhile, and the encoded request states more time than is left.
+bool Job::wasHeldUp() const
 {
-    return now() - m_attempt->startedAt > m_state.options.connectTimeout
-           || timeLeft() < minAttemptTime;
+    const kernel::Duration limit
+        = kernel::scaled(m_state.options.connectTimeout, heldUpConnectTimeouts);
+    return now() - m_attempt->startedAt > limit || timeLeft() < minAttemptTime;
 }
 
 // Starts the attempt anew at any upstream; nothing was sent.
 void Job::restartAttempt()
 {
     const auto self = shared_from_this();
-    ++m_failedConnects;
+    m_restarted = true;
     m_triedUpstreams.erase(m_attempt->upstream);
     finishAttempt(AttemptOutcome::Cancelled);
     startNextAttempt();
@@ -263,9 +267,14 @@
 
 void Job::onSent()
 {
-    if (isAttemptStale()) {
-        restartAttempt();
-        return;
+    if (wasHeldUp()) {
+        if (endIfCallerLeft())
+            return;
+        // A slow process would restart the attempt again and again, so it does so once.
+        if (!m_restarted || timeLeft() < minAttemptTime) {
+            restartAttempt();
+            return;
+        }
     }
     recordSent(m_attempts);
     m_sentUpstreams.insert(m_attempt->upstream);
--- a/src/forwarding/internal/request/jobescalation.cpp
+++ b/src/forwarding/internal/request/jobescalation.cpp
@@ -25,11 +25,10 @@
     if (!m_request.work || m_escalated || !mayRetry(m_attempts))
         return false;
     const kernel::Instant objectiveEnd = m_request.arrived + m_plan.route.latencyObjective;
-    const std::string larger
-        = escalateTo(m_plan.route, m_state.options.models, *m_request.work, m_model,
-                     m_attempt->head->confidence, m_attempts.maxAttempts - m_attempts.sent,
-                     objectiveEnd - now(), saturation(m_state.lateRequestRates[m_plan.service]),
-                     expectedFirstEvents());
+    const std::string larger = escalateTo(
+        m_plan.route, m_state.options.models, *m_request.work, m_model, m_attempt->head->confidence,
+        m_attempts.maxAttempts - m_attempts.sent, objectiveEnd - now(),
+        saturation(m_state.lateRequestRates[m_plan.service]), expectedFirstEvents());
     if (larger.empty() || !isAnyUpstreamAvailable()
         || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
         return false;
@@ -78,8 +77,8 @@
     stopAttemptTimers();
     m_kept = KeptResponse{ std::move(*m_attempt), std::move(m_exchange), {}, {} };
     m_attempt.reset();
-    m_keptTimer = kernel::Timer(m_state.scheduler, latestStart - now(),
-                                [this] { onKeptResponseDue(); });
+    m_keptTimer
+        = kernel::Timer(m_state.scheduler, latestStart - now(), [this] { onKeptResponseDue(); });
 }
 
 bool Job::isKept(int attempt) const
--- a/src/forwarding/internal/request/jobqueueing.cpp
+++ b/src/forwarding/internal/request/jobqueueing.cpp
@@ -8,18 +8,15 @@
 
 void Job::startWhenAdmitted()
 {
-    if (!hasQueue(m_state.queues, m_plan.service)) {
+    if (!hasQueue(m_state.queues, m_plan.service) || timeLeft() < minAttemptTime) {
         startNextAttempt();
         return;
     }
-    const auto runTime = m_state.latencyEstimates.firstByte.find({ m_plan.route.name, "" });
-    QueueEntry entry{ .service = m_plan.service,
-                      .workspace = m_plan.workspace,
-                      .rank = m_plan.effectiveRank,
-                      .arrived = m_request.arrived,
-                      .deadline = m_responseDeadline };
-    if (runTime != m_state.latencyEstimates.firstByte.end())
-        entry.expectedRunTime = kernel::fromSeconds(runTime->second.meanSeconds);
+    const QueueEntry entry{ .service = m_plan.service,
+                            .workspace = m_plan.workspace,
+                            .rank = m_plan.effectiveRank,
+                            .arrived = m_request.arrived,
+                            .deadline = m_responseDeadline };
     const kernel::RequestId ticket = nextTicket(m_state.queues);
     const auto decision = enterQueue(m_state.queues, ticket, entry, now());
     switch (decision.outcome) {
@@ -68,20 +65,37 @@
     m_ticket = {};
 }
 
-// Waits for room at the upstreams that refused the request as full, once the route allows no
-// further upstreams; returns false if the request does not wait.
-bool Job::waitForRoom()
+// Asks the upstreams again that refused the request as full, once the route allows no further ones;
+// returns false if the request does not wait for that.
+bool Job::waitForFullUpstreams()
 {
-    const Configuration &configuration = *m_plan.configuration;
     if (m_attempts.mayHaveRun || m_attempts.responseStarted || m_sentUpstreams.empty()
-        || !configuration.services.contains(m_plan.service))
+        || !m_plan.configuration->services.contains(m_plan.service))
         return false;
-    const auto delay = roomRetryDelay(++m_fullRefusals, timeLeft(), m_state.random);
-    if (!delay || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
+    if (!roomDelay()
+        || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now()))
         return false;
     m_retryReserved = true;
-    logWaitForRoom(m_state, m_request, m_plan, *delay);
-    m_roomTimer = kernel::Timer(m_state.scheduler, *delay, [this] {
+    return waitForRoom("upstreams_full");
+}
+
+// Returns the time until the next attempt of a request that waits for room; nothing if too little
+// of its time is left.
+std::optional<kernel::Duration> Job::roomDelay() const
+{
+    return roomRetryDelay(m_waitsForRoom + 1, timeLeft());
+}
+
+// Starts the next attempt after a delay; returns false if too little time is left.
+bool Job::waitForRoom(std::string_view reason)
+{
+    const auto delay = roomDelay();
+    if (!delay)
+        return false;
+    ++m_waitsForRoom;
+    const kernel::Duration spread = kernel::scaled(*delay, 0.5 + kernel::uniform01(m_state.random));
+    logWaitForRoom(m_state, m_request, m_plan, reason, spread);
+    m_roomTimer = kernel::Timer(m_state.scheduler, spread, [this] {
         const auto self = shared_from_this();
         startNextAttempt();
     });
@@ -106,22 +120,30 @@
     return m_request.work ? m_request.work->promptTokens + m_request.work->maxOutputTokens : 0;
 }
 
-// Returns whether the upstream has room for this request, as far as this router's own requests tell.
-bool Job::hasRoom(const Upstream &upstream) const
+// Returns upstreams that have no room for this request, as far as this router's own requests tell.
+std::set<kernel::UpstreamId>
+Job::upstreamsWithoutRoom(const std::vector<const Upstream *> &candidates) const
 {
-    const auto held = m_state.tokensInFlight.find(upstream.id);
-    if (held != m_state.tokensInFlight.end()) {
-        const auto service = m_plan.configuration->services.find(m_plan.service);
-        const bool knowsMemory = service != m_plan.configuration->services.end()
-                                 && service->second.memoryTokens > 0;
-        if (knowsMemory && held->second + memoryNeed() > service->second.memoryTokens)
-            return false;
+    std::set<kernel::UpstreamId> full;
+    const auto service = m_plan.configuration->services.find(m_plan.service);
+    if (service == m_plan.configuration->services.end())
+        return full;
+    const std::int64_t memory = service->second.memoryTokens;
+    if (memory > 0 && memoryNeed() <= memory) {
+        for (const auto &[upstream, tokens] : m_state.tokensInFlight) {
+            if (tokens + memoryNeed() > memory)
+                full.insert(upstream);
+        }
     }
     if (m_ticket.empty())
-        return true;
-    const auto record = m_state.records.find(upstream.id);
-    return record == m_state.records.end()
-           || record->second.inFlight < maxInFlight(upstream.slots);
+        return full;
+    for (const Upstream *upstream : candidates) {
+        const auto record = m_state.records.find(upstream->id);
+        if (record != m_state.records.end()
+            && record->second.inFlight >= maxInFlight(upstream->slots))
+            full.insert(upstream->id);
+    }
+    return full;
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/request/jobwaiting.cpp
+++ b/src/forwarding/internal/request/jobwaiting.cpp
@@ -126,8 +126,12 @@
         armInactivityTimer(timeout - inactiveTime);
         return;
     }
-    // The time of the kept response bounds the wait for that of the larger model.
-    if (m_kept || !mayRetry(m_attempts) || timeLeft() < minAttemptTime)
+    if (m_kept) {
+        // The kept response is passed on if this one comes too late.
+        armInactivityTimer(timeout);
+        return;
+    }
+    if (!mayRetry(m_attempts) || timeLeft() < minAttemptTime)
         return;
     recordInactivity(inactiveTime);
     retryElsewhere("silent");
--- a/src/forwarding/internal/request/requestreport.cpp
+++ b/src/forwarding/internal/request/requestreport.cpp
@@ -180,15 +180,15 @@
 }
 
 void logWaitForRoom(ForwardingState &state, const Request &request, const RequestPlan &plan,
-                    kernel::Duration delay)
+                    std::string_view reason, kernel::Duration delay)
 {
-    state.metrics.admissions("queued", "upstreams_full").add();
+    state.metrics.admissions("queued", reason).add();
     kernel::logEvent(kernel::EventId::AdmissionDecided,
                      { { "request", request.id },
                        { "route", plan.route.name },
                        { "service", plan.service },
                        { "outcome", "queued" },
-                       { "reason", "upstreams_full" },
+                       { "reason", reason },
                        { "rank", plan.effectiveRank },
                        { "expected_ms", kernel::toMilliseconds(delay) } });
 }
--- a/src/forwarding/internal/request/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -58,8 +58,8 @@
 void logAdmission(ForwardingState &state, const Request &request, const RequestPlan &plan,
                   const admission::AdmissionDecision &decision, kernel::Duration waited);
 
-/// Logs and counts that a request waits to be sent again to upstreams that refused it as full.
+/// Logs and counts that a request waits for its next attempt, because upstreams have no room.
 void logWaitForRoom(ForwardingState &state, const Request &request, const RequestPlan &plan,
-                    kernel::Duration delay);
+                    std::string_view reason, kernel::Duration delay);
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -57,11 +57,11 @@
 
 metrics::Counter &ForwardingMetrics::admissions(std::string_view outcome, std::string_view reason)
 {
-    return registry.counter("acaciasail_admissions_total",
-                            "Requests that waited in the router for room at upstreams, or were "
-                            "refused because of it",
-                            { { "outcome", std::string(outcome) },
-                              { "reason", std::string(reason) } });
+    return registry.counter(
+        "acaciasail_admissions_total",
+        "Requests that waited in the router for room at upstreams, or were "
+        "refused because of it",
+        { { "outcome", std::string(outcome) }, { "reason", std::string(reason) } });
 }
 
 metrics::TimeHistogram &ForwardingMetrics::queueTime()
--- a/src/forwarding/tests/job_tests.cpp
+++ b/src/forwarding/tests/job_tests.cpp
@@ -1,6 +1,10 @@
 #include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -506,12 +510,12 @@
 TEST(JobTest, KeptResponseIsPassedOnIfLargerModelGivesNone)
 {
     const std::vector<std::function<void(EscalatedRequest &)>> cases{
-        [](EscalatedRequest &request) { request.large->head(503, { { "not-run", "1" } }); },
-        [](EscalatedRequest &request) { request.large->head(421); },
-        [](EscalatedRequest &request) { request.large->respond(500, "broken"); },
         [](EscalatedRequest &request) {
-            request.large->fail(kernel::ResultCode::UpstreamBroken);
+            request.large->head(503, { { "not-run", "1" } });
         },
+        [](EscalatedRequest &request) { request.large->head(421); },
+        [](EscalatedRequest &request) { request.large->respond(500, "broken"); },
+        [](EscalatedRequest &request) { request.large->fail(kernel::ResultCode::UpstreamBroken); },
         [](EscalatedRequest &request) {
             request.large->head(200, events);
             request.large->fail(kernel::ResultCode::UpstreamBroken);
@@ -593,6 +597,93 @@
     EXPECT_FALSE(request.small->cancelled);
 }
 
+namespace {
+
+// The configuration names the services, so requests wait for room at their upstreams.
+void nameServices(ForwarderFixture &fixture, std::int64_t memoryTokens)
+{
+    auto configuration = fixture.makeConfiguration(2);
+    const kernel::ServiceName plain("plain");
+    const kernel::ServiceName engines("engines");
+    configuration->services[plain] = { .name = plain };
+    configuration->services[engines] = { .name = engines, .memoryTokens = memoryTokens };
+    fixture.forwarder.setConfiguration(configuration, kernel::Revision(2));
+    fixture.clock.advance(1s);
+}
+
+} // namespace
+
+TEST(JobTest, RequestsWaitForRoomAtPlainUpstreams)
+{
+    ForwarderFixture fixture;
+    nameServices(fixture, 1000);
+    // Three upstreams with four slots each.
+    const std::size_t room = 3U * static_cast<std::size_t>(maxInFlight(4));
+    for (std::size_t i = 0; i < room; ++i)
+        fixture.sendRequest("/unsafe/x");
+    EXPECT_EQ(fixture.http.sends.size(), room);
+    for (const auto &[id, record] : fixture.forwarder.state().records)
+        EXPECT_LE(record.inFlight, maxInFlight(4)) << id.str();
+    const auto leaving = fixture.sendRequest("/unsafe/x");
+    const auto waiting = fixture.sendRequest("/unsafe/x");
+    EXPECT_EQ(fixture.http.sends.size(), room);
+    leaving->onClosed();
+    fixture.http.sends.front()->respond(200, "ok");
+    fixture.clock.advance(1ms);
+    ASSERT_EQ(fixture.http.sends.size(), room + 1) << "the free place goes to who waits";
+    fixture.http.last().respond(200, "ok");
+    EXPECT_EQ(waiting->status, 200);
+}
+
+TEST(JobTest, RequestThatUpstreamsRefuseAsFullIsSentAgainToTheSame)
+{
+    ForwarderFixture fixture;
+    nameServices(fixture, 1000);
+    const auto caller = fixture.sendRequest("/safe/x");
+    std::set<std::string> upstreams;
+    for (int send = 0; send < 4; ++send) {
+        ASSERT_EQ(fixture.http.sends.size(), send + 1U);
+        upstreams.insert(sentHeader(fixture.http.last(), "upstream"));
+        fixture.http.last().reportSent();
+        fixture.http.last().head(503, { { "not-run", "1" } });
+        fixture.clock.advance(300ms);
+    }
+    EXPECT_EQ(upstreams.size(), 2U) << "the route allows two upstreams";
+    fixture.http.last().respond(200, "ok");
+    EXPECT_EQ(caller->status, 200);
+}
+
+TEST(JobTest, RequestThatMayHaveRunIsNotSentAgainAfterRefusal)
+{
+    ForwarderFixture fixture;
+    nameServices(fixture, 1000);
+    const auto caller = fixture.sendRequest("/safe/x");
+    fixture.http.last().reportSent();
+    fixture.http.last().fail(kernel::ResultCode::UpstreamBroken);
+    fixture.http.last().reportSent();
+    fixture.http.last().head(503, { { "not-run", "1" } });
+    EXPECT_EQ(caller->status, 502);
+    fixture.clock.advance(1s);
+    EXPECT_EQ(fixture.http.sends.size(), 2U);
+}
+
+TEST(JobTest, EngineIsNeverSentMoreTokensThanItsMemoryHolds)
+{
+    ForwarderFixture fixture;
+    // Each request needs 200 tokens.
+    nameServices(fixture, 500);
+    std::vector<std::shared_ptr<FakeResponder>> callers;
+    for (int i = 0; i < 7; ++i)
+        callers.push_back(fixture.sendRequest("/chat/x", std::to_string(i)));
+    EXPECT_EQ(fixture.http.sends.size(), 6U) << "two requests at each of three engines";
+    std::map<std::string, int> requests;
+    for (const auto &send : fixture.http.sends)
+        EXPECT_LE(++requests[sentHeader(*send, "upstream")], 2);
+    fixture.http.sends.front()->respond(200, "ok");
+    fixture.clock.advance(100ms);
+    EXPECT_EQ(fixture.http.sends.size(), 7U);
+}
+
 TEST(JobTest, KeepsConfidentResponse)
 {
     ForwarderFixture fixture;
@@ -730,9 +821,13 @@
     for (int i = 0; i < 4; ++i) {
         const auto caller = fixture.sendRequest("/chat/x", "same");
         for (int sends = 0; sends < 3; ++sends) {
+            ASSERT_FALSE(caller->ended);
             fixture.http.last().reportSent();
-            fixture.clock.advance(4s);
+            // The request is retried elsewhere after 1.25 s.
+            fixture.clock.advance(1300ms);
         }
+        fixture.clock.advance(2s);
+        EXPECT_TRUE(caller->ended);
     }
     fixture.clock.advance(20s);
     EXPECT_FALSE(fixture.sendRequest("/chat/x", "same")->ended);
--- a/src/forwarding/tests/servicequeue_tests.cpp
+++ b/src/forwarding/tests/servicequeue_tests.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -72,27 +74,36 @@
                 release(ms);
             }
             endRuns(ms);
-            for (std::size_t i = 0; i < m_streams.size(); ++i)
-                arrive(i, ms);
+            for (const std::size_t stream : arrivalsAt(ms))
+                arrive(stream, ms);
             startRuns(ms);
         }
         return m_served;
     }
 
 private:
-    void arrive(std::size_t stream, int ms)
+    // Returns the streams of the requests that arrive in this millisecond, in random order.
+    std::vector<std::size_t> arrivalsAt(int ms)
     {
-        if (ms < m_streams[stream].fromMs)
-            return;
-        for (m_due[stream] += m_streams[stream].perSecond / 1000; m_due[stream] >= 1;
-             m_due[stream] -= 1) {
-            ++m_served[stream].asked;
-            Waiting request{ nextTicket(m_queues), stream, ms, 0 };
-            if (!m_isQueued)
-                send(request);
-            else
-                enter(request, ms);
+        std::vector<std::size_t> arrivals;
+        for (std::size_t i = 0; i < m_streams.size(); ++i) {
+            if (ms < m_streams[i].fromMs)
+                continue;
+            for (m_due[i] += m_streams[i].perSecond / 1000; m_due[i] >= 1; m_due[i] -= 1)
+                arrivals.push_back(i);
         }
+        std::ranges::shuffle(arrivals, m_random);
+        return arrivals;
+    }
+
+    void arrive(std::size_t stream, int ms)
+    {
+        ++m_served[stream].asked;
+        const Waiting request{ nextTicket(m_queues), stream, ms, 0 };
+        if (m_isQueued)
+            enter(request, ms);
+        else
+            send(request);
     }
 
     void enter(const Waiting &request, int ms)
@@ -165,6 +176,7 @@
     int m_lastUpstreams = 3;
     std::vector<Served> m_served;
     std::vector<double> m_due;
+    kernel::Random m_random{ 1 };
     ServiceQueues m_queues;
     std::map<kernel::RequestId, Waiting> m_waiting;
     std::deque<Waiting> m_atUpstreams;
@@ -270,8 +282,7 @@
 {
     const std::vector<Stream> streams{ { "w", 0, capacityPerSecond * 0.4 },
                                        { "w", 2, capacityPerSecond * 0.5 } };
-    const Comparison played
-        = compare(streams, [](int ms) { return ms < playMs / 3 ? 3 : 2; });
+    const Comparison played = compare(streams, [](int ms) { return ms < playMs / 3 ? 3 : 2; });
     EXPECT_GE(played.queued[0].share(), 0.95);
     EXPECT_GE(played.queued[0].share(), played.atOnce[0].share());
     EXPECT_GT(played.queued[1].share(), 0.3) << "what is left of the room is used";
@@ -289,8 +300,10 @@
     entry.arrived = at(1000);
     entry.deadline = at(1000 + deadlineMs);
     enterQueue(queues, nextTicket(queues), entry, at(1000));
+    enterQueue(queues, nextTicket(queues), entry, at(1000));
     const auto decision = enterQueue(queues, nextTicket(queues), entry, at(1000));
-    EXPECT_EQ(decision.outcome, admission::AdmissionOutcome::Refused) << "a run takes a second";
+    EXPECT_EQ(decision.outcome, admission::AdmissionOutcome::Refused)
+        << "a run takes a second, and one request waits already";
     EXPECT_GT(decision.retryAfter, 100ms);
 }
 
@@ -310,9 +323,21 @@
 
 TEST(ServiceQueue, FullUpstreamIsAskedAgainOnlyWhileTimeIsLeft)
 {
-    kernel::Random random(1);
-    EXPECT_LT(roomRetryDelay(1, 1s, random).value_or(1s), 50ms);
-    EXPECT_FALSE(roomRetryDelay(5, 200ms, random));
-    for (int refusals = 1; refusals < 100; ++refusals)
-        EXPECT_LE(roomRetryDelay(refusals, 60s, random).value_or(1s), 300ms);
+    EXPECT_LT(roomRetryDelay(1, 1s).value_or(1s), 50ms);
+    EXPECT_FALSE(roomRetryDelay(5, 200ms));
+    for (int tries = 1; tries < 100; ++tries)
+        EXPECT_LE(roomRetryDelay(tries, 60s).value_or(1s), 200ms);
+}
+
+TEST(ServiceQueue, NobodyWaitsForServiceWithoutUpstreams)
+{
+    ServiceQueues queues;
+    setQueueCapacity(queues, plain, 1);
+    const QueueEntry entry{ .service = plain, .arrived = at(0), .deadline = at(deadlineMs) };
+    enterQueue(queues, nextTicket(queues), entry, at(0));
+    enterQueue(queues, nextTicket(queues), entry, at(0));
+    EXPECT_TRUE(hasQueue(queues, plain));
+    setQueueCapacity(queues, plain, 0);
+    EXPECT_FALSE(hasQueue(queues, plain));
+    EXPECT_EQ(releaseQueued(queues, at(1)).size(), 1U);
 }
