--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -44,9 +44,6 @@
         "Routing chose a version, and why." },
     EventInfo{ EventId::UpstreamChosen, "UpstreamChosen", EventLevel::Info,
         "Routing chose an upstream, and why." },
-    EventInfo{ EventId::CascadeAbandoned, "CascadeAbandoned", EventLevel::Info,
-        "A larger model gave no response in time, so the kept response of the smaller one is passed "
-        "on; fields: request, asked, kept, reason." },
     EventInfo{ EventId::CascadeEscalated, "CascadeEscalated", EventLevel::Info,
         "A cheap answer was not good enough; the dear version follows." },
     EventInfo{ EventId::RolloutHalted, "RolloutHalted", EventLevel::Warn,
@@ -57,6 +54,9 @@
         "A session was bound to a version." },
     EventInfo{ EventId::SessionRebound, "SessionRebound", EventLevel::Info,
         "A session's version was withdrawn; it continues on another." },
+    EventInfo{ EventId::CascadeAbandoned, "CascadeAbandoned", EventLevel::Info,
+        "A larger model gave no response in time, so the kept response of the smaller one is passed "
+        "on; fields: request, asked, kept, reason." },
     EventInfo{ EventId::UpstreamEjected, "UpstreamEjected", EventLevel::Warn,
         "An upstream was taken out for its failures." },
     EventInfo{ EventId::UpstreamReturned, "UpstreamReturned", EventLevel::Info,
