--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -115,6 +115,9 @@
     void reviewBlamedParts();
     void reviewLimits();
     void shareWork();
+    void reviewQueues();
+    void releaseJobs();
+    void onJobDone(const Job *job);
     void onLimitsEnded(const std::vector<kernel::UpstreamId> &processes);
     void endCrashingRequests();
     std::vector<std::shared_ptr<Job>> copyJobs() const;
@@ -141,6 +144,8 @@
     WorkReportSharer m_shareWork;
     WorkReport m_sharedWork;
     kernel::Instant m_workSharedAt{};
+    kernel::Instant m_capacitiesUpdatedAt{};
+    kernel::Timer m_releaseTimer;
     std::function<void(const Configuration &)> m_onConfiguration;
     std::unordered_map<const Job *, std::shared_ptr<Job>> m_jobs;
     std::map<kernel::ServiceName, kernel::Instant> m_rolloutWriteDueAt;
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -44,6 +44,8 @@
     // State of the attempt in progress.
     struct Attempt
     {
+        // Number of the attempt within its request.
+        int number = 0;
         kernel::UpstreamId upstream;
         kernel::UpstreamId process;
         kernel::Endpoint endpoint;
@@ -56,6 +58,8 @@
         std::uint64_t workNumber = 0;
         ExpectedFinish expected;
         bool firstEventRecorded = false;
+        // Expected tokens in the engine's memory.
+        std::int64_t tokens = 0;
         kernel::Instant startedAt{};
         kernel::Instant lastActivity{};
         bool sent = false;
@@ -73,6 +77,16 @@
         bool writtenForWhile = false;
     };
 
+    // Response of a small model that is set aside while a larger model is asked.
+    struct KeptResponse
+    {
+        Attempt attempt;
+        std::unique_ptr<http::Exchange> exchange;
+        // What was received of the body.
+        std::string bytes;
+        bool isComplete = false;
+    };
+
     // One load query. Holds a copy of the upstream, because its registration may disappear
     // meanwhile.
     struct LoadQuery
@@ -89,6 +103,19 @@
     std::optional<StreamEventId> lastReceivedEventId() const;
     VersionChoice versionForSession() const;
     bool isAnyUpstreamAvailable() const;
+    // Starts the request, or lets it wait in the queue of its service.
+    void startWhenAdmitted();
+    void onReleased(const admission::ReleasedRequest &released);
+    void refuseAdmission(const admission::AdmissionDecision &decision, kernel::Duration waited);
+    void leaveServiceQueue();
+    bool waitForFullUpstreams();
+    std::optional<kernel::Duration> roomDelay() const;
+    bool waitForRoom(std::string_view reason);
+    std::vector<const Upstream *> allowedCandidates(VersionChoice version) const;
+    // Expected tokens that the request will occupy in an engine's memory at its end.
+    std::int64_t memoryNeed() const;
+    std::set<kernel::UpstreamId>
+    upstreamsWithoutRoom(const std::vector<const Upstream *> &candidates) const;
     void startNextAttempt();
     std::vector<UpstreamChoice> selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                 UpstreamQuery query);
@@ -114,8 +141,13 @@
     // Records the time to the first event of the attempt in progress, once.
     void recordFirstEventTime();
     void recordOutput();
-    void finishWorkInFlight(UpstreamRecord &record, AttemptOutcome outcome);
+    void finishWorkInFlight(const Attempt &attempt, UpstreamRecord &record, AttemptOutcome outcome);
     void startAttempt(const UpstreamChoice &choice);
+    // Ends the request if its caller has closed the connection; returns whether it did.
+    bool endIfCallerLeft();
+    // Returns whether the process was held up between the start of the attempt and its connection.
+    bool wasHeldUp() const;
+    void restartAttempt();
     void onSent();
     void onHead(const http::ClientHead &clientHead);
     void onBody(std::string_view piece);
@@ -128,24 +160,37 @@
     void onExchangeEnd(const kernel::Completion<kernel::Done> &outcome);
     void onResponseComplete();
     bool escalate();
+    ExpectedFirstEvents expectedFirstEvents() const;
+    void recordModelTime();
+    void keepResponse(kernel::Instant latestStart);
+    // Returns whether the response of the attempt with this number is kept.
+    bool isKept(int attempt) const;
+    void onKeptBody(std::string_view piece);
+    void onKeptEnd(const kernel::Completion<kernel::Done> &outcome);
+    void onKeptResponseDue();
+    void passOnKeptResponse(std::string_view reason);
+    void dropKeptResponse(AttemptOutcome outcome);
+    void dropIncompleteKeptResponse();
     void deliverResponse();
     void startResponse();
     void recordFirstByte();
 
     void failAttempt(AttemptFailure failure, std::string_view detail);
     void finishAttempt(AttemptOutcome outcome);
+    void stopAttemptTimers();
+    void recordOutcome(const Attempt &attempt, AttemptOutcome outcome);
     // Records the notices that the upstream of the attempt in progress gave in its response.
     void recordNotices(const ResponseHead &head);
     void recordNamedLimit(const ResponseHead &head);
     void updateLimit(const Upstream &upstream, std::optional<double> perSecond,
                      kernel::Instant sentAt);
-    bool isUpstreamLeaving() const;
+    bool isUpstreamLeaving(const kernel::UpstreamId &upstream) const;
     // Returns whether upstreams crash when they run the request.
     bool isPoison() const;
     // Records an attempt that finished without a response as evidence on crashes.
-    void recordPossibleCrash(AttemptOutcome outcome);
+    void recordPossibleCrash(const Attempt &attempt, AttemptOutcome outcome);
     void recordCompleteResponse();
-    void recordLost(bool mayBeComplete);
+    void recordLost(const Attempt &attempt, bool mayBeComplete);
     // Adds the attempt in progress to the evidence of a roll-out, if there is one.
     void review(void (*update)(ResponseReview &, RolloutEvidence &, kernel::Instant));
     void armReview();
@@ -175,12 +220,21 @@
     kernel::Timer m_reviewTimer;
     AttemptState m_attempts;
     std::set<kernel::UpstreamId> m_triedUpstreams;
+    // Upstreams that the request was sent to.
+    std::set<kernel::UpstreamId> m_sentUpstreams;
+    // Id in the queue of the service; empty if the request is not in it.
+    kernel::RequestId m_ticket;
+    kernel::Timer m_roomTimer;
+    // Number of times that the request waited for room at upstreams.
+    int m_waitsForRoom = 0;
     std::optional<Attempt> m_attempt;
     std::vector<LoadQuery> m_loadQueries;
     std::size_t m_finishedLoadQueries = 0;
     kernel::Instant m_loadQueryStartedAt{};
     std::unique_ptr<http::Exchange> m_loadExchange;
     std::unique_ptr<http::Exchange> m_exchange;
+    std::optional<KeptResponse> m_kept;
+    kernel::Timer m_keptTimer;
     EventSplitter m_splitter;
     // Id of the last event that was sent to the caller.
     std::optional<StreamEventId> m_lastEventId;
@@ -194,10 +248,13 @@
     double m_actualFirstMs = -1;
     std::string m_lastUpstream;
     kernel::Instant m_firstByteAt{};
+    int m_lastAttemptNumber = 0;
     // Number of attempts whose connection failed.
     int m_failedConnects = 0;
     // A retry was taken from the budget and was not sent yet.
     bool m_retryReserved = false;
+    // An attempt was started anew because the process was held up.
+    bool m_restarted = false;
     bool m_escalated = false;
     bool m_done = false;
 };
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -17,6 +17,9 @@
 constexpr kernel::Duration maxIdleSafe = std::chrono::seconds(5);
 // The connect timeout is at most the time left divided by this number.
 constexpr int connectTimeoutDivisor = 3;
+// Multiple of the connect timeout after which a connection that still succeeds shows that the
+// process was held up; timers fire a little late at all times.
+constexpr double heldUpConnectTimeouts = 1.5;
 // Number of failed connects after which a request is refused.
 constexpr int maxFailedConnects = 4;
 
@@ -68,8 +71,11 @@
         if (knowsOthersWork(m_state))
             query.finish = &m_finish;
     }
-    const auto candidates = reachableCandidates(m_state, m_plan.service, version);
+    const auto candidates = allowedCandidates(version);
     const auto choices = selectUpstreams(candidates, query);
+    const bool mayWait = choices.empty() && !m_kept && !upstreamsWithoutRoom(candidates).empty();
+    if (mayWait && waitForRoom("no_room"))
+        return;
     if (choices.empty())
         finishWithoutResponse(EndReason::NoCapacity,
                               reasonForNoUpstream(m_state, m_plan.service, candidates));
@@ -84,22 +90,25 @@
 std::vector<UpstreamChoice> Job::selectUpstreams(const std::vector<const Upstream *> &candidates,
                                                  UpstreamQuery query)
 {
+    std::set<kernel::UpstreamId> excluded = upstreamsWithoutRoom(candidates);
+    excluded.insert(m_triedUpstreams.begin(), m_triedUpstreams.end());
     if (countCrashes(m_state.crashes, m_plan.fingerprint) > 0) {
-        std::set<kernel::UpstreamId> excluded = m_triedUpstreams;
-        excluded.insert(m_state.upstreamsWithSuspects.begin(), m_state.upstreamsWithSuspects.end());
-        query.exclude = &excluded;
+        std::set<kernel::UpstreamId> withSuspects = excluded;
+        withSuspects.insert(m_state.upstreamsWithSuspects.begin(),
+                            m_state.upstreamsWithSuspects.end());
+        query.exclude = &withSuspects;
         auto choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
         if (!choices.empty())
             return choices;
     }
-    query.exclude = &m_triedUpstreams;
+    query.exclude = &excluded;
     auto choices = chooseUpstreams(candidates, m_state.records, query,
                                    enginesToQuery(candidates.size()), m_state.random);
     removeLimitedFromLoadQueries(choices);
     if (choices.empty() && !m_triedUpstreams.empty()) {
         // All candidates were tried; an upstream that refused the request, or whose connection
         // failed, may accept the request now.
-        query.exclude = nullptr;
+        excluded = upstreamsWithoutRoom(candidates);
         choices = chooseUpstreams(candidates, m_state.records, query, 1, m_state.random);
     }
     return choices;
@@ -145,6 +154,7 @@
     attempt.review.startedAt = now();
     attempt.model = m_model;
     attempt.work = m_request.work ? expectedWork(*m_request.work) : 1;
+    attempt.tokens = memoryNeed();
     attempt.startedAt = now();
     attempt.lastActivity = now();
     attempt.mayHaveRunBefore = m_attempts.mayHaveRun;
@@ -189,8 +199,22 @@
                        { "left_ms", kernel::toMilliseconds(timeLeft()) } });
 }
 
+// A process that was held up may handle an event of an upstream, or a request itself, before the
+// end of the caller's connection.
+bool Job::endIfCallerLeft()
+{
+    if (!m_responder->hasCallerLeft())
+        return false;
+    const auto self = shared_from_this();
+    m_responder->abort();
+    onCallerGone();
+    return true;
+}
+
 void Job::startAttempt(const UpstreamChoice &choice)
 {
+    if (endIfCallerLeft())
+        return;
     if (isPoison()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
@@ -198,36 +222,73 @@
     }
     const Upstream &upstream = *choice.upstream;
     UpstreamRecord &record = m_state.records[upstream.id];
-    // The upstream may have become unavailable while other engines were queried for their load.
-    if (availabilityOf(record.notices, now()) == Availability::Unavailable) {
+    // The upstream may have become unavailable or full while engines were queried for their load.
+    if (availabilityOf(record.notices, now()) == Availability::Unavailable
+        || upstreamsWithoutRoom({}).contains(upstream.id)) {
         startNextAttempt();
         return;
     }
     logChoice(choice);
     m_attempt = makeAttempt(upstream);
+    m_attempt->number = ++m_lastAttemptNumber;
     if (m_attempt->suspect)
         m_state.upstreamsWithSuspects.insert(upstream.id);
     m_triedUpstreams.insert(upstream.id);
     m_lastUpstream = upstream.id.str();
     recordStart(record, m_attempt->work);
     startWorkAt(upstream);
+    if (m_attempt->tokens > 0)
+        m_state.tokensInFlight[upstream.id] += m_attempt->tokens;
     if (record.notices.pace)
         recordPacedRequest(*record.notices.pace, now());
     m_splitter.reset();
     http::ClientHandlers handlers;
     handlers.onSent = [this] { onSent(); };
     handlers.onHead = [this](const http::ClientHead &head) { onHead(head); };
-    handlers.onBody = [this](std::string_view piece) { onBody(piece); };
-    handlers.onEnd
-        = [this](const kernel::Completion<kernel::Done> &outcome) { onExchangeEnd(outcome); };
+    const int number = m_attempt->number;
+    handlers.onBody = [this, number](std::string_view piece) {
+        isKept(number) ? onKeptBody(piece) : onBody(piece);
+    };
+    handlers.onEnd = [this, number](const kernel::Completion<kernel::Done> &outcome) {
+        isKept(number) ? onKeptEnd(outcome) : onExchangeEnd(outcome);
+    };
     m_exchange = m_state.send(m_state.wire.encode(m_request, makeAttemptContext(upstream)),
                               std::move(handlers));
     armReview();
 }
 
+// A connection that took far longer than its timeout shows that the process was held up. The caller
+// may have left meanwhile, and the encoded request states more time than is left.
+bool Job::wasHeldUp() const
+{
+    const kernel::Duration limit
+        = kernel::scaled(m_state.options.connectTimeout, heldUpConnectTimeouts);
+    return now() - m_attempt->startedAt > limit || timeLeft() < minAttemptTime;
+}
+
+// Starts the attempt anew at any upstream; nothing was sent.
+void Job::restartAttempt()
+{
+    const auto self = shared_from_this();
+    m_restarted = true;
+    m_triedUpstreams.erase(m_attempt->upstream);
+    finishAttempt(AttemptOutcome::Cancelled);
+    startNextAttempt();
+}
+
 void Job::onSent()
 {
+    if (wasHeldUp()) {
+        if (endIfCallerLeft())
+            return;
+        // A slow process would restart the attempt again and again, so it does so once.
+        if (!m_restarted || timeLeft() < minAttemptTime) {
+            restartAttempt();
+            return;
+        }
+    }
     recordSent(m_attempts);
+    m_sentUpstreams.insert(m_attempt->upstream);
     recordConnectTime(m_state, now() - m_attempt->startedAt);
     m_retryReserved = false;
     m_attempt->sent = true;
--- a/src/forwarding/internal/request/jobcost.cpp
+++ b/src/forwarding/internal/request/jobcost.cpp
@@ -97,18 +97,18 @@
 }
 
 // A request that ends before its first event shows at least how slow the upstream was until then.
-void Job::finishWorkInFlight(UpstreamRecord &record, AttemptOutcome outcome)
+void Job::finishWorkInFlight(const Attempt &attempt, UpstreamRecord &record, AttemptOutcome outcome)
 {
-    if (m_attempt->workNumber == 0)
+    if (attempt.workNumber == 0)
         return;
-    const double waitedMs = toExactMilliseconds(now() - m_attempt->startedAt);
+    const double waitedMs = toExactMilliseconds(now() - attempt.startedAt);
     const bool gaveUp = outcome == AttemptOutcome::Silent || outcome == AttemptOutcome::Cancelled;
-    if (gaveUp && !m_attempt->firstEventRecorded && waitedMs > m_attempt->expected.firstMs) {
-        recordFirstEventOf(record.backlog, m_attempt->workNumber,
-                           m_attempt->expected.aheadMs + m_attempt->expected.readMs,
+    if (gaveUp && !attempt.firstEventRecorded && waitedMs > attempt.expected.firstMs) {
+        recordFirstEventOf(record.backlog, attempt.workNumber,
+                           attempt.expected.aheadMs + attempt.expected.readMs,
                            waitedMs - m_rates.baseMs, now());
     }
-    finishWork(record.backlog, m_attempt->workNumber);
+    finishWork(record.backlog, attempt.workNumber);
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/request/jobwaiting.cpp
+++ b/src/forwarding/internal/request/jobwaiting.cpp
@@ -147,6 +147,11 @@
         armInactivityTimer(timeout - inactiveTime);
         return;
     }
+    if (m_kept) {
+        // The kept response is passed on if this one comes too late.
+        armInactivityTimer(timeout);
+        return;
+    }
     if (!mayRetry(m_attempts) || timeLeft() < minAttemptTime)
         return;
     recordInactivity(inactiveTime);
@@ -157,12 +162,14 @@
 // better than to end it.
 void Job::retryElsewhere(std::string_view detail)
 {
-    if (!isAnyUpstreamAvailable()
-        || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
-        armInactivityTimer(currentInactivityTimeout());
-        return;
+    if (!m_kept) {
+        if (!isAnyUpstreamAvailable()
+            || !takeRetry(m_state.retryBudgets[m_plan.service], m_state.options.retries, now())) {
+            armInactivityTimer(currentInactivityTimeout());
+            return;
+        }
+        m_retryReserved = true;
     }
-    m_retryReserved = true;
     // The abandoned response counts against its version in a roll-out; otherwise a version that
     // never responds in time would not be detected.
     review(reviewAbandoned);
@@ -204,7 +211,7 @@
     const auto self = shared_from_this();
     const bool waits = m_attempt && m_exchange && m_attempt->sent && m_attempt->upstream == upstream
                        && now() - m_attempt->lastActivity >= reachabilityCheckDelay;
-    if (waits && mayRetry(m_attempts) && timeLeft() >= minAttemptTime)
+    if (waits && (mayRetry(m_attempts) || m_kept) && timeLeft() >= minAttemptTime)
         retryElsewhere("unreachable");
 }
 
--- a/src/forwarding/internal/request/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -57,4 +57,13 @@
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
 
+/// Logs and counts that a request waits for room at its service, starts after it waited, or is
+/// refused. `waited` is the time that it waited in the queue.
+void logAdmission(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                  const admission::AdmissionDecision &decision, kernel::Duration waited);
+
+/// Logs and counts that a request waits for its next attempt, because upstreams have no room.
+void logWaitForRoom(ForwardingState &state, const Request &request, const RequestPlan &plan,
+                    std::string_view reason, kernel::Duration delay);
+
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -12,11 +12,13 @@
 #include "forwarding/internal/placement/costestimate.h"
 #include "forwarding/internal/placement/engineload.h"
 #include "forwarding/internal/placement/finishchoice.h"
+#include "forwarding/internal/placement/firsteventestimate.h"
 #include "forwarding/internal/placement/lanes.h"
 #include "forwarding/internal/placement/modelchoice.h"
 #include "forwarding/internal/placement/promptholders.h"
 #include "forwarding/internal/placement/upstreamchoice.h"
 #include "forwarding/internal/placement/workreport.h"
+#include "forwarding/internal/queueing/servicequeue.h"
 #include "forwarding/internal/request/inactivitytimeout.h"
 #include "forwarding/internal/rollouts/rolloutplan.h"
 #include "metrics/metrics.h"
@@ -66,6 +68,8 @@
     metrics::Counter &blamedParts();
     metrics::Counter &notices(std::string_view kind);
     metrics::Counter &firstEventEstimates(const std::string &route, std::string_view error);
+    metrics::Counter &admissions(std::string_view outcome, std::string_view reason);
+    metrics::TimeHistogram &queueTime();
     metrics::TimeHistogram &firstByte(const std::string &kind);
     metrics::TimeHistogram &responseTime(const std::string &kind);
 };
@@ -104,8 +108,13 @@
     /// Time of the newest report on other routers' work; not set before the first.
     std::optional<kernel::Instant> othersWorkAt;
     LatencyEstimates latencyEstimates;
+    FirstEventEstimates firstEventEstimates;
     std::map<kernel::ServiceName, LateRequestRate> lateRequestRates;
     std::map<kernel::ServiceName, RetryBudget> retryBudgets;
+    ServiceQueues queues;
+    /// Expected tokens in memory of this router's requests in flight, by engine: those of the
+    /// prompts and the output limits. Engines without such requests have no entry.
+    std::map<kernel::UpstreamId, std::int64_t> tokensInFlight;
     /// Exponentially weighted moving average of each service's failure rate.
     std::map<kernel::ServiceName, double> failureRates;
     std::map<kernel::ServiceName, RolloutEvidence> rolloutEvidence;
@@ -142,8 +151,12 @@
 std::optional<kernel::Duration> remainingCooldown(const ForwardingState &state,
                                                   const kernel::ServiceName &service);
 
-/// Returns the number of ready upstreams of the roll-out's service that are not evacuated and not of
-/// a rejected version: first those of the target version, then the others.
+/// Sets how many of this router's requests each plain service's upstreams take: those that are
+/// configured, can be reached, and state how many requests they run at once.
+void updateQueueCapacities(ForwardingState &state);
+
+/// Returns the number of ready upstreams of the roll-out's service that are not evacuated and not
+/// of a rejected version: first those of the target version, then the others.
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
 /// Returns the number of upstreams that get the target version's requests at the present share.
--- a/src/framework/http/internal/directresponder.h
+++ b/src/framework/http/internal/directresponder.h
@@ -23,6 +23,7 @@
     void whenDrained(std::function<void()>) override {}
     void whenClosed(std::function<void()>) override {}
     bool closed() const override { return m_descriptor < 0; }
+    bool hasCallerLeft() const override { return closed(); }
     /// Gives the descriptor up; later calls do nothing.
     void detach() { m_descriptor = -1; }
 
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -58,6 +58,9 @@
         "A session was bound to a version." },
     EventInfo{ EventId::SessionRebound, "SessionRebound", EventLevel::Info,
         "A session's version was withdrawn; it continues on another." },
+    EventInfo{ EventId::CascadeAbandoned, "CascadeAbandoned", EventLevel::Info,
+        "A larger model gave no response in time, so the kept response of the smaller one is passed "
+        "on; fields: request, asked, kept, reason." },
     EventInfo{ EventId::UpstreamEjected, "UpstreamEjected", EventLevel::Warn,
         "An upstream was taken out for its failures." },
     EventInfo{ EventId::UpstreamReturned, "UpstreamReturned", EventLevel::Info,
