--- a/soak/crowds/crowd.cpp
+++ b/soak/crowds/crowd.cpp
@@ -19,7 +19,7 @@
 
 // Writes by one caller before the next one has its turn.
 constexpr int writesPerTurn = 64;
-// The crowd has come to rest if nobody makes progress for this time.
+// play() ends early if no caller makes progress for this time.
 constexpr kernel::Duration restTime = std::chrono::milliseconds(250);
 
 } // namespace
--- a/soak/crowds/crowd.h
+++ b/soak/crowds/crowd.h
@@ -34,7 +34,7 @@
     Crowd(const Crowd &) = delete;
     Crowd &operator=(const Crowd &) = delete;
 
-    /// Lets the crowd send until nobody makes progress any more, or this time is over.
+    /// Lets the callers send and read until none makes progress any more, or this time is over.
     void play(kernel::Duration atMost);
 
 private:
--- a/soak/crowds/crowds_tests.cpp
+++ b/soak/crowds/crowds_tests.cpp
@@ -40,7 +40,7 @@
 constexpr std::size_t maxPeakMegabytes = memoryMegabytes / 2;
 constexpr std::size_t maxDescriptors = 2 * maxConnections + 100;
 
-// The crowds: four times what fills the memory with bodies, or the connections.
+// Sizes of the crowds: four times what fills the memory with bodies, or the limit of connections.
 constexpr std::size_t bodyCrowd = 4 * memoryMegabytes * megabyte / maxBodyBytes;
 constexpr std::size_t connectionCrowd = 4 * maxConnections;
 
@@ -198,7 +198,7 @@
     return behaviour;
 }
 
-// A loopback address of this process's own, so that no other program takes a port meanwhile.
+// A loopback address that only this process uses, so that no other program takes its ports.
 std::string ownLoopback()
 {
     constexpr int octet = 250;
--- a/soak/evacuations.cpp
+++ b/soak/evacuations.cpp
@@ -12,17 +12,17 @@
 using namespace std::chrono_literals;
 using platform::testing::Arrival;
 
+// Gap from the end of an evacuation and of its runners' cold time to the next evacuation.
 constexpr kernel::Duration minGap = 1s;
 constexpr kernel::Duration maxGap = 4s;
 constexpr kernel::Duration minTime = 3s;
 constexpr kernel::Duration maxTime = 5s;
-// The gap counts from the end of the evacuation before and of its runners' cold time.
 constexpr kernel::Duration firstDelay = 500ms;
 constexpr std::ptrdiff_t minRunnersElsewhere = 2;
 
-// An evacuation binds the routers this long after the store has accepted it.
+// Routers must obey an evacuation from this long after the store has accepted it.
 constexpr kernel::Duration evacuationTime = 2s;
-// Requests that a cold runner may get within the window: this factor times what it bears, plus the
+// Requests that a cold runner may get within the window: this factor times its limit, plus the
 // slack.
 constexpr kernel::Duration coldWindow = 1s;
 constexpr double coldFactor = 1.5;
--- a/soak/evacuations.h
+++ b/soak/evacuations.h
@@ -5,7 +5,7 @@
 
 namespace acaciasail::soak {
 
-/// Evacuates one of the two data centres from time to time, as far as the other one has runners of
+/// Evacuates one of the two data centres from time to time, if the other one has enough runners of
 /// all services.
 class Evacuations
 {
@@ -27,7 +27,7 @@
 /// Judges whether evacuated data centres got no requests.
 void judgeEvacuations(const Record &record, std::vector<std::string> &broken);
 
-/// Judges whether cold runners got no more requests than they bear.
+/// Judges whether cold runners got no more requests than their limit allows.
 void judgeColdRunners(const Record &record, std::vector<std::string> &broken);
 
 } // namespace acaciasail::soak
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -31,7 +31,7 @@
 constexpr kernel::Duration limitWindow = std::chrono::seconds(4);
 constexpr double limitFactor = 1.5;
 constexpr double limitSlack = 5;
-// Trouble excuses for this time after its end.
+// A disturbance also excuses violations for this time after its end.
 constexpr kernel::Duration recoveryTime = std::chrono::seconds(3);
 // A restart or pause of a router excuses it from limits for this time.
 constexpr kernel::Duration limitExcuse = std::chrono::seconds(1);
@@ -206,8 +206,8 @@
            || std::ranges::any_of(record.planned, touches);
 }
 
-// The bytes of a killed process can't be taken back, so trouble of the router counts from the time
-// at which the request was sent.
+// Bytes that a router sent before it was killed may still arrive, so disturbances of the router
+// count from the time at which the request was sent.
 bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
                kernel::Instant at)
 {
--- a/soak/record.h
+++ b/soak/record.h
@@ -90,10 +90,11 @@
     /// When the store accepted that a runner leaves, for runners that don't announce it in their
     /// responses; by the runner's id.
     std::map<std::string, kernel::Instant> registeredLeaving;
-    /// By the name of the data centre; the store accepted the evacuation's start and end then.
+    /// Named by the data centre; from when the store accepted the evacuation's start to its end.
     std::vector<NamedPeriod> evacuations;
-    /// By the runner's id.
+    /// Named by the runner's id.
     std::vector<NamedPeriod> coldTimes;
+    /// By the runner's id.
     std::map<std::string, std::string> dataCentreOfRunner;
     /// Broken promises that were found during the run.
     std::vector<std::string> broken;
@@ -110,8 +111,8 @@
 bool isRouterDisturbed(const Record &record, std::size_t router, kernel::Instant from,
                        kernel::Instant to);
 
-/// Returns whether trouble at the store, at the router or on the path to the runner excuses that a
-/// request reached the runner although the store said otherwise.
+/// Returns whether a disturbance of the store, the router or the path to the runner excuses that a
+/// request reached the runner against the state in the store.
 bool isExcused(const Record &record, const std::string &runner, const Asked &asked,
                kernel::Instant at);
 
--- a/soak/world.h
+++ b/soak/world.h
@@ -20,7 +20,7 @@
 inline constexpr double repeatSlack = 20;
 inline constexpr int repeatWindowSeconds = 10;
 
-/// What all cold runners bear, in requests per second, and how long they are cold.
+/// Limit of each cold runner, in requests per second from all routers, and how long it is cold.
 inline constexpr double coldPerSecond = 8;
 inline constexpr kernel::Duration coldTime = std::chrono::seconds(2);
 
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -19,16 +19,18 @@
 constexpr kernel::Duration drainCheckInterval = std::chrono::milliseconds(50);
 // The process may exit once no request has been in progress for this time.
 constexpr kernel::Duration drainIdleTime = std::chrono::milliseconds(200);
-// Enough for the open calls of the other routers of a data centre.
+// Connections of the internal listener, on which other routers of the data centre keep watches
+// open.
 constexpr std::size_t maxRelayConnections = 300;
-// Enough for the answers that they read at the same time.
+// Memory of the internal listener, for the responses that other routers read at the same time.
 constexpr std::size_t relayMemoryBytes = 6U << 20U;
 // Part of the stop timeout that is reserved for the exit of the process itself, and the part before
 // it in which the requests that are still running get a final response.
 constexpr kernel::Duration exitMargin = std::chrono::milliseconds(250);
 constexpr kernel::Duration finalResponseTime = std::chrono::milliseconds(150);
 
-// The balancer, the metrics' readers and the other routers need no more than this.
+// Limits of the readiness listener and the internal listener; the latter has more connections and
+// memory where other routers read from it.
 constexpr std::size_t internalConnections = 64;
 constexpr std::size_t internalMemoryBytes = 2U << 20U;
 constexpr std::size_t internalHeadBytes = 16U << 10U;
--- a/src/forwarding/internal/directory.h
+++ b/src/forwarding/internal/directory.h
@@ -33,7 +33,7 @@
     std::map<kernel::ServiceName, std::set<SoftwareVersion>> rejectedVersions;
     /// Data centres whose upstreams get no requests, by the operators' order.
     std::set<kernel::DataCentreId> evacuated;
-    /// Whether the evacuations are known; a router that follows none has nothing to learn.
+    /// Whether the evacuations are known; always true in a router that does not follow them.
     bool evacuationsKnown = true;
     /// The store of configuration, registrations and roll-outs is unreachable, so this router
     /// does not learn of their changes.
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -16,9 +16,10 @@
 // Interval at which the shares of limited upstreams are computed anew.
 constexpr kernel::Duration limitsApplyInterval = std::chrono::milliseconds(500);
 constexpr kernel::Duration workShareInterval = std::chrono::milliseconds(250);
-// A report on work in flight is repeated after this time, because the others' work comes in answer.
+// A report on work in flight is repeated after this time even if it is unchanged, because the other
+// routers' work comes in the response to it.
 constexpr kernel::Duration workRepeatInterval = std::chrono::seconds(1);
-// Interval at which the numbers of requests that services take are computed anew.
+// Interval at which the capacities of the services' queues are recomputed.
 constexpr kernel::Duration capacityUpdateInterval = std::chrono::milliseconds(500);
 // Minimum interval between writes of the same roll-out step.
 constexpr kernel::Duration rolloutWriteInterval = std::chrono::milliseconds(500);
@@ -108,7 +109,8 @@
 void Forwarder::onJobDone(const Job *job)
 {
     m_jobs.erase(job);
-    // Requests that start may end at once, so the next ones are released by the loop.
+    // A released request may end at once and call this function again, so a timer releases the next
+    // ones.
     if (countQueued(m_state.queues) > 0)
         m_releaseTimer
             = kernel::Timer(m_state.scheduler, kernel::Duration::zero(), [this] { releaseJobs(); });
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -57,8 +57,7 @@
     Forwarder &operator=(const Forwarder &) = delete;
 
     void handle(Request request, std::shared_ptr<http::Responder> responder);
-    /// Returns whether a request with this head would be sent to an upstream as far as its route
-    /// and its key decide; the body need not be known.
+    /// Returns whether the route and the key of a request are valid; its body is not looked at.
     bool accepts(const Request &request) const;
 
     void setConfiguration(std::shared_ptr<const Configuration> configuration,
@@ -85,7 +84,7 @@
     /// Records one router's report on rate limits.
     void setLimitReport(const kernel::VmId &vm, const LimitReport &report);
     void dropLimitReport(const kernel::VmId &vm);
-    /// Replaces what the other routers have in flight.
+    /// Replaces the other routers' work in flight.
     void setOthersWork(const WorkReport &report);
 
     /// Refuses new requests that might still run at `end`; requests in progress continue.
--- a/src/forwarding/internal/limits/limitsharing.cpp
+++ b/src/forwarding/internal/limits/limitsharing.cpp
@@ -12,9 +12,9 @@
 constexpr double chosenFraction = 0.85;
 constexpr double commonFraction = 0.1;
 constexpr double noLeaseFraction = 0.5;
-// Fraction of a cold upstream's limit that all routers use together. It is warm again before the
-// routers would have leases, and a lease that only some of them hold for another reason must not
-// count: their shares would come on top of the others'.
+// Fraction of a cold upstream's limit that all routers use together. Leases play no part: the cold
+// time ends before routers could get them, and where some routers hold one for another reason,
+// their larger shares would be added to the static shares of the others.
 constexpr double coldFraction = 0.7;
 // A limit is divided among at most as many routers as get this share each, in requests per second.
 constexpr double minChosenShare = 1;
--- a/src/forwarding/internal/limits/limitsharing.h
+++ b/src/forwarding/internal/limits/limitsharing.h
@@ -95,6 +95,7 @@
 
 /// Why an upstream has a limit.
 enum class LimitReason {
+    /// The upstream named the limit in its responses.
     Named,
     /// The upstream is cold for a few seconds.
     Cold,
--- a/src/forwarding/internal/limits/requestlimits.cpp
+++ b/src/forwarding/internal/limits/requestlimits.cpp
@@ -42,8 +42,8 @@
     return found == configuration->services.end() ? nullptr : &found->second;
 }
 
-// Returns the number of requests per second that the upstream bears because it is cold; nothing if
-// that does not limit it.
+// Returns the limit of a cold upstream in requests per second; nothing if the upstream isn't cold
+// or its service has no such limit.
 std::optional<double> coldLimit(const ForwardingState &state, const Upstream &upstream,
                                 const UpstreamNotices &notices)
 {
@@ -55,8 +55,8 @@
     return service->coldPerSecond;
 }
 
-// Returns the limit that applies to an upstream, given the limits that it named and that it has
-// because it is cold.
+// Returns the limit that applies to an upstream: the lower of the one that it named and the one for
+// cold upstreams; nothing if there is neither.
 std::optional<double> limitInForce(std::optional<double> named, std::optional<double> cold)
 {
     if (named && cold)
@@ -102,7 +102,7 @@
 
 void recordColdUpstream(ForwardingState &state, const Upstream &upstream, kernel::Duration time)
 {
-    // An upstream may be known to be cold before the configuration is known.
+    // A registration may arrive before the configuration; the cold time is recorded all the same.
     const Service *service = findService(state, upstream.service);
     if (time <= kernel::Duration::zero() || (service != nullptr && service->coldPerSecond <= 0))
         return;
--- a/src/forwarding/internal/limits/requestlimits.h
+++ b/src/forwarding/internal/limits/requestlimits.h
@@ -13,14 +13,15 @@
 std::map<kernel::UpstreamId, double> namedLimits(const ForwardingState &state);
 
 /// Records that the upstream's process may be cold for this time from now. Has no effect if the
-/// service's cold upstreams bear as many requests as warm ones.
+/// service has no limit for cold upstreams.
 void recordColdUpstream(ForwardingState &state, const Upstream &upstream, kernel::Duration time);
-/// Records what a registration says about whether the upstream's process is cold.
+/// Records the cold time that a registration states, unless the same one was recorded before.
 void recordRegisteredCold(ForwardingState &state, const Upstream &upstream);
-/// Records that the upstream, which was unreachable, can be reached again. If it was away for long
-/// enough to have restarted, it counts as cold until its registration shows more.
+/// Records that the upstream, which was unreachable, can be reached again. If it was unreachable
+/// for long enough to have restarted, it counts as cold for the service's cold time.
 void recordColdReturn(ForwardingState &state, const Upstream &upstream);
-/// Records that a data centre is no longer evacuated; its upstreams may have turned cold meanwhile.
+/// Records that a data centre is no longer evacuated. Its upstreams may have become cold meanwhile,
+/// so they count as cold for the service's cold time.
 void recordColdDataCentre(ForwardingState &state, const kernel::DataCentreId &dataCentre);
 
 /// Sets the pace of this router's requests to an upstream according to the limit that the upstream
--- a/src/forwarding/internal/limits/upstreamlimit.h
+++ b/src/forwarding/internal/limits/upstreamlimit.h
@@ -40,7 +40,7 @@
     /// The limit from which the pace was derived, in requests per second from all routers together.
     double limit = 0;
     /// Time since which the upstream has been known to name a limit, to this router or to another
-    /// one; not set if the pace has another reason.
+    /// one; not set if the pace follows only from the limit for cold upstreams.
     std::optional<kernel::Instant> namedSince;
     /// Time of the last request since a limit has been known.
     std::optional<kernel::Instant> lastSentAt;
@@ -55,8 +55,8 @@
 bool setPace(std::optional<RequestPace> &pace, double perSecond, kernel::Instant now,
              kernel::Random &random);
 
-/// Schedules the next request as if the pace had changed: requests that were not sent while the
-/// upstream could get none are not made up for, because all routers would do so at once.
+/// Reschedules the next request as after a change of the pace. Requests that fell due while the
+/// upstream was unavailable are not caught up on, because all routers would send theirs at once.
 void restartPace(std::optional<RequestPace> &pace, kernel::Instant now, kernel::Random &random);
 
 /// Returns whether the pace falls behind: unless a request is sent now, the time without one is not
--- a/src/forwarding/internal/limits/upstreamnotices.h
+++ b/src/forwarding/internal/limits/upstreamnotices.h
@@ -8,8 +8,8 @@
 namespace acaciasail::forwarding {
 
 /// What limits the requests to an upstream: notices in its responses, which this router follows
-/// even if the upstream's registration does not show them, and whether its process is cold. Void
-/// when the process ends.
+/// even if the upstream's registration does not show them, and whether its process is cold. All of
+/// it becomes void when the process ends.
 struct UpstreamNotices
 {
     /// Time at which the upstream first announced that it is shutting down.
@@ -19,7 +19,7 @@
     /// End of the cooldown that the upstream asked for.
     kernel::Instant cooldownUntil{};
     std::optional<UpstreamLimit> limit;
-    /// Until this time the upstream may be cold and then bears few requests per second.
+    /// Time until which the upstream may be cold and gets few requests per second.
     kernel::Instant coldUntil{};
     /// Set while a limit is in force: one that the upstream named to this router or to another one,
     /// or that of a cold upstream.
@@ -47,6 +47,7 @@
 
 /// Records that the upstream may be cold until this time.
 void recordCold(UpstreamNotices &notices, kernel::Instant until);
+/// Returns whether the upstream may be cold.
 bool isCold(const UpstreamNotices &notices, kernel::Instant now);
 
 /// Records the limit that the upstream's response to a request that was sent at `sentAt` names, in
--- a/src/forwarding/internal/placement/costestimate.cpp
+++ b/src/forwarding/internal/placement/costestimate.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-// Usual values, which the learned factors correct.
+// Initial values, which the learned factors correct.
 constexpr double usualBaseMs = 10;
 constexpr double usualReadMsPerToken = 0.015;
 constexpr double usualOutputMsPerToken = 10;
@@ -15,24 +15,25 @@
 constexpr double promptTokensPerOutputToken = 12;
 // Expected output as a fraction of the maximum, which callers set higher than the output they get.
 constexpr double usedFractionOfMaxOutput = 0.5;
-// Number of tokens before a token at which reading it takes twice as long as the first.
+// Number of preceding tokens at which a token takes twice as long to read as the first one.
 constexpr double doublingContextTokens = 40'000;
 
 // First and smallest step of a factor, as logarithms.
 constexpr double firstStep = 0.5;
 constexpr double smallestStep = 0.05;
 constexpr double samplesToHalveStep = 4;
-// Part of a route's step that also moves the service's value, which new models and routes start
-// from.
+// Fraction of the route's step by which the service's factor moves. New models and routes start
+// from the service's factor.
 constexpr double serviceStepShare = 0.3;
 const double maxLogFactor = std::log(30.0);
 constexpr double median = 0.5;
-// Work that the router does not know of only lengthens the times, so the shorter ones tell more
-// about the reading.
+// Work unknown to the router only lengthens the measured times, so a low quantile is closest to the
+// time that the reading itself takes.
 constexpr double readQuantile = 0.3;
 constexpr double meanReadWeight = 0.05;
 // Callers may name models, so the number of keys is bounded.
 constexpr std::size_t maxKeys = 512;
+// Lower bound of times and of ratios of times, for divisions and logarithms.
 constexpr double smallestMs = 0.01;
 
 double valueOf(const LearnedFactor &factor)
@@ -40,7 +41,7 @@
     return std::exp(factor.logValue);
 }
 
-// The quantile is the part of the observations that the factor tends to lie above.
+// Moves the factor towards the value below which the fraction `quantile` of the observations lies.
 void observe(LearnedFactor &factor, double ratio, double quantile, double weight)
 {
     const double step
--- a/src/forwarding/internal/placement/costestimate.h
+++ b/src/forwarding/internal/placement/costestimate.h
@@ -19,8 +19,8 @@
     friend auto operator<=>(const CostKey &, const CostKey &) = default;
 };
 
-/// Factor that follows what is observed: each observation moves it by a bounded step, so a few odd
-/// ones change little and old ones are forgotten.
+/// Factor that follows the observations: each moves it by a bounded step, so a few outliers change
+/// little and old observations lose their influence.
 struct LearnedFactor
 {
     double logValue = 0;
@@ -52,7 +52,7 @@
 struct RouteCost
 {
     LearnedFactor read;
-    /// Correction of the time per stated output token.
+    /// Correction of the time per expected output token.
     LearnedFactor output;
 };
 
@@ -88,13 +88,14 @@
 double relativePrice(const Configuration &configuration, const kernel::ServiceName &service,
                      const std::string &model);
 
+/// Returns the rates for requests of this key: the initial values, corrected by what was learned.
 CostRates costRates(const CostEstimates &estimates, const CostKey &key, double relativePrice);
 
 /// One measured time to the first event of a stream.
 struct FirstEventObservation
 {
-    /// Expected time: `baseMs` and the time for the request's own prompt and for the work that was
-    /// ahead of it, by the upstream's speed.
+    /// Expected time at usual speed: `baseMs`, and `workMs` for the request's own prompt and the
+    /// work that was ahead of it.
     double baseMs = 0;
     double workMs = 0;
     double actualMs = 0;
@@ -103,6 +104,8 @@
     std::string caller;
 };
 
+/// Records a measured time to the first event. It corrects either the base or the time per token to
+/// read, whichever accounts for more of the expected time.
 void recordFirstEvent(CostEstimates &estimates, const CostKey &key,
                       const FirstEventObservation &observation);
 
--- a/src/forwarding/internal/placement/finishchoice.cpp
+++ b/src/forwarding/internal/placement/finishchoice.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t randomCandidates = 2;
 // Finishes that differ by less than this fraction count as equal.
 constexpr double nearEqualFraction = 0.1;
-// Reading takes time from later requests too, so each millisecond of it counts this many times more
-// than one of waiting.
+// Weight of the time to read the prompt, added to the expected time: reading also delays later
+// requests.
 constexpr double readPrice = 4;
 // Part of the shared tokens that the first upstream in the rendezvous-hash order is expected to
 // have read for other routers.
@@ -35,7 +35,7 @@
     return found == records.end() ? unknown : found->second.backlog;
 }
 
-// Returns the first candidates in the rendezvous-hash order of the key, the first one first.
+// Returns the first candidates in the rendezvous-hash order of the key, in that order.
 std::array<Scored, rendezvousCandidates>
 firstInOrder(const std::vector<const Upstream *> &candidates, std::string_view key)
 {
--- a/src/forwarding/internal/placement/finishchoice.h
+++ b/src/forwarding/internal/placement/finishchoice.h
@@ -34,13 +34,14 @@
     double firstMs = 0;
 };
 
+/// Returns the expected times of the request at this upstream.
 ExpectedFinish expectedFinish(const Upstream &upstream, const UpstreamBacklog &backlog,
                               const FinishQuery &query, kernel::Instant now);
 
 /// Selects the upstream at which the request is expected to get its first event earliest, among a
 /// few: the first in the rendezvous-hash order of the affinity key, those that have read the start
-/// of the prompt, and some at random. Routers with late knowledge therefore don't all select the
-/// upstream that looks idle.
+/// of the prompt, and some at random. Routers whose knowledge is out of date therefore don't all
+/// select the same upstream.
 const Upstream *chooseByFinish(const std::vector<const Upstream *> &candidates,
                                const UpstreamRecords &records, const UpstreamQuery &query,
                                kernel::Random &random);
--- a/src/forwarding/internal/placement/promptholders.cpp
+++ b/src/forwarding/internal/placement/promptholders.cpp
@@ -11,7 +11,7 @@
 constexpr std::size_t maxReaders = 8;
 constexpr std::size_t maxUses = 8192;
 // Age at which what an upstream has read is in its cache with a probability of one half. The
-// exponent states how sharply the probability falls around that age.
+// exponent sets how sharply the probability falls around that age.
 constexpr double cacheSeconds = 20;
 constexpr double cacheExponent = 4;
 
--- a/src/forwarding/internal/placement/upstreambacklog.h
+++ b/src/forwarding/internal/placement/upstreambacklog.h
@@ -39,12 +39,14 @@
     kernel::Instant speedAt{};
 };
 
+/// Adds the work of a request that starts at the upstream.
 void startWork(UpstreamBacklog &backlog, const WorkInFlight &work);
 /// Records that the first event has arrived, after `actualMs`; `expectedWorkMs` is the time that
-/// the work ahead of it would take at usual speed.
+/// the work ahead of the request and its own reading would take at usual speed.
 void recordFirstEventOf(UpstreamBacklog &backlog, std::uint64_t number, double expectedWorkMs,
                         double actualMs, kernel::Instant now);
-/// Has no effect if the work is not known, because the upstream's process was replaced.
+/// Removes the work of a request that ended. Has no effect if the work is not known, because the
+/// upstream's process was replaced.
 void finishWork(UpstreamBacklog &backlog, std::uint64_t number);
 
 /// Records the remaining work of all routers that follows from the upstream's own load report.
--- a/src/forwarding/internal/queueing/servicequeue.cpp
+++ b/src/forwarding/internal/queueing/servicequeue.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::int64_t unlimitedCapacity = 1'000'000'000;
-// Requests in flight beyond an upstream's slots, as a fraction of the slots.
+// An upstream gets one request in flight beyond its slots for each of this many slots.
 constexpr int slotsPerExtraRequest = 4;
 // First delay before upstreams that had no room are tried again; it doubles up to the maximum.
 constexpr kernel::Duration minRoomDelay = std::chrono::milliseconds(20);
@@ -20,8 +20,8 @@
 constexpr double retrySpreadSeconds = 0.1;
 constexpr double retrySpreadFraction = 0.5;
 
-// Plain requests run for milliseconds, so ranks get their floors, and callers their refusals,
-// sooner than work at a model does.
+// Plain requests run for milliseconds, so floors apply and requests are refused after shorter times
+// than for requests to models.
 admission::AdmissionConfig makeConfig()
 {
     admission::AdmissionConfig config;
@@ -71,7 +71,8 @@
 void setQueueCapacity(ServiceQueues &queues, const kernel::ServiceName &service,
                       std::int64_t requests)
 {
-    // Without upstreams nobody waits for room: each request finds out at once that there are none.
+    // Without available upstreams no request waits for room; it is refused when none can be
+    // selected.
     admission::setCapacity(queues.admission, poolOf(service),
                            requests > 0 ? requests : unlimitedCapacity);
 }
--- a/src/forwarding/internal/queueing/servicequeue.h
+++ b/src/forwarding/internal/queueing/servicequeue.h
@@ -15,7 +15,7 @@
 struct QueueEntry
 {
     kernel::ServiceName service;
-    /// May be empty for requests without a key; these share one place among the workspaces.
+    /// May be empty for requests without a key; these count as one workspace.
     kernel::WorkspaceId workspace;
     /// 0 is the most urgent; ranks beyond the last one of admission count as that one.
     int rank = 0;
@@ -35,7 +35,7 @@
     /// The workspaces whose requests were queued, as the admission library looks them up.
     table::Snapshot workspaces;
     std::int64_t lastTicket = 0;
-    /// What is called when a waiting request starts or is refused.
+    /// Functions that are called when a waiting request starts or is refused.
     std::map<kernel::RequestId, std::function<void(const admission::ReleasedRequest &)>> waiting;
 };
 
@@ -43,8 +43,8 @@
 /// its slots and a few more, which start while a response is on its way.
 int maxInFlight(int slots);
 
-/// Sets how many of this router's requests the service's upstreams take. At 0, when none can be
-/// reached, all requests start.
+/// Sets how many of this router's requests the service's upstreams take. At 0, when none is
+/// available, no request waits in the queue.
 void setQueueCapacity(ServiceQueues &queues, const kernel::ServiceName &service,
                       std::int64_t requests);
 
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -504,7 +504,8 @@
     finish(status, reason);
 }
 
-// Finishes a request for which no upstream gave a response, unless a kept response is at hand.
+// Finishes a request for which no upstream gave a response, unless a kept response can be passed
+// on.
 void Job::finishWithoutResponse(EndReason reason, std::string_view outcome)
 {
     if (m_kept) {
--- a/src/forwarding/internal/request/jobcost.cpp
+++ b/src/forwarding/internal/request/jobcost.cpp
@@ -96,7 +96,8 @@
                      toExactMilliseconds(now() - m_attempt->firstEventAt));
 }
 
-// A request that ends before its first event shows at least how slow the upstream was until then.
+// If a request is given up before its first event, the time waited is a lower bound of the actual
+// time.
 void Job::finishWorkInFlight(const Attempt &attempt, UpstreamRecord &record, AttemptOutcome outcome)
 {
     if (attempt.workNumber == 0)
--- a/src/forwarding/internal/request/jobescalation.cpp
+++ b/src/forwarding/internal/request/jobescalation.cpp
@@ -7,7 +7,7 @@
 namespace acaciasail::forwarding {
 
 // This file holds the parts of Job that ask a larger model while the response of a smaller one is
-// kept, so that a sound response in hand is dropped only once a better one has begun.
+// kept, so that a valid response is dropped only once the larger model's has begun.
 
 namespace {
 
--- a/src/forwarding/internal/request/jobqueueing.cpp
+++ b/src/forwarding/internal/request/jobqueueing.cpp
@@ -65,8 +65,8 @@
     m_ticket = {};
 }
 
-// Asks the upstreams again that refused the request as full, once the route allows no further ones;
-// returns false if the request does not wait for that.
+// Waits before the request is sent again to upstreams that refused it as full, once the route
+// allows no further ones; returns false if the request does not wait.
 bool Job::waitForFullUpstreams()
 {
     if (m_attempts.mayHaveRun || m_attempts.responseStarted || m_sentUpstreams.empty()
@@ -120,7 +120,8 @@
     return m_request.work ? m_request.work->promptTokens + m_request.work->maxOutputTokens : 0;
 }
 
-// Returns upstreams that have no room for this request, as far as this router's own requests tell.
+// Returns upstreams that have no room for this request, judged by this router's own requests. Of
+// those that run no models, only candidates are considered.
 std::set<kernel::UpstreamId>
 Job::upstreamsWithoutRoom(const std::vector<const Upstream *> &candidates) const
 {
--- a/src/forwarding/internal/rollouts/rolloutplan.cpp
+++ b/src/forwarding/internal/rollouts/rolloutplan.cpp
@@ -50,8 +50,8 @@
 // upstream tells nothing about the version.
 constexpr double minBadUpstreamFraction = 0.6;
 
-// Some slow responses are found at any version in a large fleet. They delay the last step only if
-// at least this fraction of the canaries gave them.
+// In a large fleet some responses of any version are slow. They delay the last step only if at
+// least this fraction of the canaries gave them.
 constexpr double minSlowUpstreamFraction = 0.4;
 
 // A response is slow if it takes this many times the baseline plus this excess.
@@ -190,7 +190,8 @@
     mean += baselineWeight * (seconds - mean);
 }
 
-// Returns whether the doubt says more than what this router has already shared.
+// Returns whether the doubt names more upstreams than the one that this router has shared, or is no
+// longer about slow responses only.
 bool hasNewDoubt(const Rollout &rollout, const std::optional<RolloutDoubt> &doubt)
 {
     if (!doubt)
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -15,7 +15,7 @@
 constexpr kernel::Duration minConnectTimeout = std::chrono::milliseconds(50);
 // A request is refused during shutdown unless it will probably finish this long before the exit.
 constexpr kernel::Duration exitDeadlineMargin = std::chrono::milliseconds(100);
-// Reports on other routers' work come about twice a second.
+// Reports on other routers' work come at least once a second while this router has work in flight.
 constexpr kernel::Duration othersWorkValidity = std::chrono::seconds(2);
 // Work in flight is reported in steps of this size, so that small changes are not sent.
 constexpr double reportStepMs = 5;
@@ -111,7 +111,7 @@
     return directory.evacuated.contains(upstream.dataCentre);
 }
 
-// Like candidateUpstreams(), but with all upstreams of the target version.
+// Like candidateUpstreams(), but with all upstreams of the target version, not only the canaries.
 std::vector<const Upstream *> upstreamsOfVersion(const Directory &directory,
                                                  const kernel::ServiceName &service,
                                                  VersionChoice version)
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -128,7 +128,7 @@
     ForwardingMetrics metrics;
 };
 
-/// Returns why a request gets no upstream of a service, of which these are the candidates.
+/// Returns the reason, as logged, why none of a service's candidates could be selected.
 std::string_view reasonForNoUpstream(const ForwardingState &state,
                                      const kernel::ServiceName &service,
                                      const std::vector<const Upstream *> &candidates);
@@ -151,8 +151,8 @@
 std::optional<kernel::Duration> remainingCooldown(const ForwardingState &state,
                                                   const kernel::ServiceName &service);
 
-/// Sets how many of this router's requests each plain service's upstreams take: those that are
-/// configured, can be reached, and state how many requests they run at once.
+/// Recomputes how many of this router's requests the upstreams of each plain service take together.
+/// Those that drain, are evacuated, unreachable or unavailable take none.
 void updateQueueCapacities(ForwardingState &state);
 
 /// Returns the number of ready upstreams of the roll-out's service that are not evacuated and not
@@ -160,18 +160,19 @@
 std::pair<int, int> countByVersion(const Directory &directory, const Rollout &rollout);
 
 /// Returns the number of upstreams that get the target version's requests at the present share.
-/// Evacuated ones count, because they got some earlier: an evacuation must not make the others' bad
-/// responses look like those of the whole version.
+/// Evacuated ones count, because they got requests earlier: without them, bad responses of a few
+/// other upstreams would be enough to reject the version.
 std::size_t countCanaries(const Directory &directory, const Rollout &rollout);
 
-/// Returns this router's remaining work at the upstreams of services that have many.
+/// Returns this router's remaining work at the upstreams of services with at least
+/// minUpstreamsForFinishChoice upstreams.
 WorkReport ownWork(const ForwardingState &state);
 
-/// Applies what the other routers have in flight.
+/// Replaces the other routers' remaining work by this report.
 void applyOthersWork(ForwardingState &state, const WorkReport &report);
 
-/// Returns whether other routers' work is known well enough that upstreams need not be queried for
-/// their load.
+/// Returns whether a recent report on other routers' work is known, so that upstreams need not be
+/// queried for their load.
 bool knowsOthersWork(const ForwardingState &state);
 
 /// Records the time that a connect took; 0 if a kept-alive connection was used.
--- a/src/forwarding/internal/types.h
+++ b/src/forwarding/internal/types.h
@@ -87,8 +87,7 @@
     std::vector<ModelPrice> models;
     /// Time for which an upstream may be cold after it started.
     kernel::Duration coldTime{};
-    /// Requests per second from all routers together that a cold upstream bears; 0 if it bears as
-    /// many as a warm one.
+    /// Limit of a cold upstream, in requests per second from all routers together; 0 for no limit.
     double coldPerSecond = 0;
 };
 
@@ -159,7 +158,7 @@
     int badResponses = 0;
     /// Upstreams of the target version that gave the bad responses.
     std::vector<kernel::UpstreamId> upstreams;
-    /// The responses were slow, and too few of them failed to doubt the target for that alone.
+    /// The doubt follows from slow responses alone; too few of them failed for a doubt.
     bool onlySlow = false;
 
     friend bool operator==(const RolloutDoubt &, const RolloutDoubt &) = default;
--- a/src/framework/http/internal/callerconnections.cpp
+++ b/src/framework/http/internal/callerconnections.cpp
@@ -17,20 +17,21 @@
 namespace {
 
 constexpr int httpHeadTooLarge = 431;
-// What a buffer holds beyond its bytes at most, where the system has not given it real memory yet.
+// Unused part of a buffer that counts as held; the system has not backed the rest with memory yet.
 constexpr std::size_t bufferSlack = 16U << 10U;
 // A request of which more than this has arrived is checked before the rest is kept.
 constexpr std::size_t uncheckedBytes = 16U << 10U;
-// A request line, which the limit of the head's fields doesn't count.
+// Upper bound of the request line, which the limit of the head's fields doesn't include.
 constexpr std::size_t requestLineBytes = 8U << 10U;
-// What a request over HTTP/2 takes beside its body.
+// Bytes that a request over HTTP/2 takes beside its body.
 constexpr std::size_t http2HeadBytes = 1U << 10U;
-// Part of the memory that is free again after connections were closed.
+// Connections are closed until the limit divided by this is free again.
 constexpr std::size_t freedPart = 16;
-// Part of the connections that are closed at a time to make room.
+// To make room, the limit of connections divided by this are closed at a time.
 constexpr std::size_t roomPart = 16;
 // Time in which the caller of a refused request gets the response while the rest is dropped.
 constexpr kernel::Duration discardTime = std::chrono::seconds(2);
+// Time without progress after which it is checked whether the caller is gone.
 constexpr kernel::Duration goneTime = std::chrono::seconds(3);
 constexpr const char *closedHere = "closed for a limit";
 
@@ -58,7 +59,7 @@
 
 } // namespace
 
-// What a socket's data points to; it goes with the socket.
+// Object that a socket's data points to; it is deleted when the socket is closed.
 struct CallerConnections::Entry
 {
     std::shared_ptr<CallerConnections> owner;
@@ -83,7 +84,7 @@
 
 void CallerConnections::watch(h2o_socket_t *socket)
 {
-    // The library may have closed it within its accept.
+    // The library may have closed the socket during h2o_accept().
     const auto found = m_connections.find(socket);
     if (found != m_connections.end())
         follow(*found->second);
@@ -106,7 +107,8 @@
     connection.socket = nullptr;
 }
 
-// The library sets its function anew when it begins to read the next request.
+// Replaces the library's read callback. The library sets its own again when it begins to read the
+// next request.
 void CallerConnections::follow(CallerConnection &connection)
 {
     if (connection.socket == nullptr || connection.socket->ssl != nullptr)
@@ -119,7 +121,7 @@
 
 void CallerConnections::onReadable(h2o_socket_t *socket, const char *error)
 {
-    // Copies, as the connection may be closed within.
+    // A copy, as the call may close the connection.
     const Entry entry = *static_cast<Entry *>(socket->on_close.data);
     if (error != nullptr || entry.owner->m_options == nullptr) {
         entry.connection->read(socket, error);
@@ -156,7 +158,8 @@
     // Only HTTP/2 can push.
     connection.http2 = library->callbacks->push_path != nullptr;
     if (connection.http2) {
-        // Bodies are kept by stream, out of sight: all counts that no freed request accounts for.
+        // The library keeps bodies by stream, where they can't be counted, so all bytes read count
+        // until a freed request accounts for them.
         connection.http2Base = std::min(connection.http2Base, connection.socket->bytes_read);
         bytes += connection.socket->bytes_read - connection.http2Base;
     }
@@ -166,8 +169,8 @@
     connection.inputBytes = bytes;
 }
 
-// Refuses what need not be read to its end: a head over the limit, and a body for which there is no
-// use. The library is given nothing of this connection any more, but its end.
+// Refuses a request that need not be read to its end: a head over the limit, or a body that is not
+// accepted. After that the library gets no bytes of this connection, only its end.
 void CallerConnections::checkHead(CallerConnection &connection)
 {
     const std::string_view input = inputOf(connection);
@@ -235,7 +238,7 @@
     m_toFollow.push_back(connection);
     if (m_toFollow.size() > 1)
         return;
-    // The library goes on to read after this call.
+    // The library sets its read callback after this call.
     m_loop.atTurnEnd([self = shared_from_this()] {
         for (const auto &weak : std::exchange(self->m_toFollow, {})) {
             const auto next = weak.lock();
@@ -258,7 +261,7 @@
     const std::size_t limit = memoryLimit();
     if (change <= 0 || limit == 0 || m_heldBytes <= limit || std::exchange(m_memoryCheckDue, true))
         return;
-    // Not within the write that asks for it.
+    // Deferred, as the write that caused this call must not close its own connection.
     m_loop.atTurnEnd([self = shared_from_this()] {
         self->m_memoryCheckDue = false;
         self->keepWithinMemory();
@@ -267,7 +270,7 @@
 
 std::size_t CallerConnections::memoryLimit() const
 {
-    // As it was read, and the two copies of a request that runs; and the rest of a buffer.
+    // The input buffer and its unused part, and the two copies of a running request's body.
     constexpr std::size_t copiesOfBody = 4;
     if (m_options == nullptr || m_options->memoryBytes == 0)
         return 0;
@@ -276,7 +279,7 @@
 
 std::size_t CallerConnections::queueLimit() const
 {
-    // The rest is for bodies, and for the bytes of each response that are under way when it stops.
+    // The rest is for bodies, and for bytes of responses that still arrive when reading pauses.
     constexpr std::size_t queuesPart = 4;
     constexpr std::size_t smallestLimit = 8U << 10U;
     const std::size_t limit = memoryLimit();
@@ -302,8 +305,8 @@
     return m_connections.size() < m_options->maxConnections;
 }
 
-// Returns the number of closed connections. What those hold that are closing already counts as
-// freed.
+// Returns the number of connections that were closed. Those that are closing already count as
+// closed, with the bytes that they hold.
 std::size_t CallerConnections::closeChosen(Chooser choose, std::size_t amount)
 {
     const kernel::Instant now = m_loop.scheduler().now();
--- a/src/framework/http/internal/callerconnections.h
+++ b/src/framework/http/internal/callerconnections.h
@@ -30,6 +30,7 @@
     /// Requests that the handler has not answered whole, and those the library has not freed.
     int running = 0;
     int unsent = 0;
+    /// Time at which bytes last moved, or a request began or ended.
     kernel::Instant movedAt{};
     /// When the first byte of the request that is arriving came.
     kernel::Instant requestSince{};
@@ -56,15 +57,20 @@
 
     /// Makes room if all connections are in use; returns whether there is.
     bool makeRoom();
+    /// Adds a connection that was accepted.
     void add(h2o_socket_t *socket);
     /// Follows the reads of a new connection, once the library has begun to read from it.
     void watch(h2o_socket_t *socket);
+    /// Returns the connection of a socket that was added and is open.
     static std::shared_ptr<CallerConnection> find(h2o_socket_t *socket);
 
+    /// A whole request was passed to the handler; `bodyBytes` are held for it.
     void requestBegan(CallerConnection &connection, std::size_t bodyBytes);
+    /// The handler has answered a request whole.
     void requestAnswered(CallerConnection &connection);
     /// The library has freed a request.
     void requestFreed(const std::shared_ptr<CallerConnection> &connection, std::size_t bodyBytes);
+    /// Changes the number of response bytes that are held.
     void addAnswerBytes(CallerConnection &connection, std::ptrdiff_t change);
 
     /// Bytes of a response that may be queued: an equal part of the memory for each request.
--- a/src/framework/http/internal/eventloop.cpp
+++ b/src/framework/http/internal/eventloop.cpp
@@ -140,8 +140,8 @@
     runDueTimers();
     for (const auto &function : std::exchange(turnEnd, {}))
         function();
-    // The next run frees closed sockets before it gives notice of writes, so the notices that
-    // timers caused are given first: one timer may have written to a socket and another closed it.
+    // The next run frees closed sockets before it calls the callbacks of writes. One timer may have
+    // written to a socket and another closed it, so the callbacks that are due are called first.
     h2o_timeout__do_post_callback(loop);
 }
 
--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -71,7 +71,7 @@
 
 void H2oResponder::attach(std::shared_ptr<CallerConnections> connections)
 {
-    // The handler keeps a copy of the body, and what is sent on holds another.
+    // The handler keeps a copy of the body, and the request to the upstream holds another.
     constexpr std::size_t bodyCopies = 2;
     m_connections = std::move(connections);
     m_connection = CallerConnections::find(m_request->conn->callbacks->get_socket(m_request->conn));
@@ -285,8 +285,8 @@
 {
     if (!m_connections)
         return;
-    // While much is queued, what comes next waits in the buffer of the connection that it comes
-    // from.
+    // While much is queued, reading from the upstream pauses and the next bytes wait in the buffer
+    // of its connection.
     constexpr std::size_t sourceBytes = 128U << 10U;
     constexpr std::size_t muchQueued = 64U << 10U;
     std::size_t bytes = queuedBytes();
--- a/src/framework/http/internal/responder.h
+++ b/src/framework/http/internal/responder.h
@@ -14,7 +14,7 @@
 class CallerConnections;
 struct CallerConnection;
 
-/// The standard phrase for a status.
+/// Returns the standard reason phrase of a status.
 const char *reasonOf(int status);
 
 /// The answer to a request of h2o's. It stays valid when h2o has freed the request.
--- a/src/framework/http/internal/server.h
+++ b/src/framework/http/internal/server.h
@@ -61,8 +61,9 @@
     std::size_t maxBodyBytes = 8U << 20U;
     /// Time for a request to arrive whole.
     kernel::Duration requestTimeout = std::chrono::seconds(30);
-    /// Connections at the same time. For further ones, those are closed that have sent no request
-    /// or read nothing for longest; without any, the further ones are.
+    /// Connections at the same time. To accept a further one, connections are closed that have sent
+    /// no whole request, have stopped reading or are idle; if there are none, the new one is
+    /// closed.
     std::size_t maxConnections = 20000;
     /// Bytes held for all callers together, above which connections are closed; 0 for no limit. One
     /// request with the largest body is always within it.
@@ -71,8 +72,8 @@
     std::size_t maxHeadBytes = 0;
     /// Time for a request's head to arrive; zero for that of the whole request.
     kernel::Duration headTimeout{};
-    /// Whether the body of a request with this head is of use. If not, the handler gets the request
-    /// without its body, must answer at once, and the body is not kept. Empty: all are.
+    /// Returns whether the body of a request with this head is to be read. If not, the handler gets
+    /// the request without its body and must answer at once. Empty if all bodies are read.
     std::function<bool(const ServerRequest &head)> acceptsBody;
     /// Body of the answers that the server gives by itself, such as 400 to a malformed request;
     /// empty for plain text.
--- a/src/framework/http/internal/socketoptions.cpp
+++ b/src/framework/http/internal/socketoptions.cpp
@@ -15,7 +15,7 @@
 constexpr int receiveBufferBytes = 64 << 10;
 constexpr int callerReceiveBytes = 32 << 10;
 constexpr int callerSendBytes = 128 << 10;
-// Repetitions of sent bytes, or questions for room, that a peer leaves without any answer.
+// Retransmissions, or zero-window probes, without an answer after which a peer counts as gone.
 constexpr int unansweredRepeats = 3;
 constexpr int unansweredProbes = 2;
 
--- a/src/framework/http/internal/socketoptions.h
+++ b/src/framework/http/internal/socketoptions.h
@@ -6,12 +6,13 @@
 /// small pieces at once.
 void setConnectionTimeouts(int fd);
 
-/// The same for a connection on which bytes may wait for a slow reader: a peer that answers without
-/// taking any is not ended. isPeerGone() finds one that is gone while bytes wait for it.
+/// The same for a caller's connection, but without the timeout of unacknowledged bytes, which also
+/// ends peers that acknowledge probes while their receive window is full. isPeerGone() finds a peer
+/// that is gone while bytes wait for it.
 void setCallerTimeouts(int fd);
 
 /// Whether bytes wait for the peer and nothing has come from it for about three seconds, although
-/// it was asked several times.
+/// several retransmissions or zero-window probes were sent.
 bool isPeerGone(int fd);
 
 /// Bounds what the system holds for a caller's connection in both directions.
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -114,9 +114,9 @@
         "All objects of a kind were read at once; fields: kind, why, their number, the revision known before and "
         "the one read, age of what was known before." },
     EventInfo{ EventId::StoreSourceChanged, "StoreSourceChanged", EventLevel::Info,
-        "What the store holds is read from another source; fields: source, a router's VM or \"store\"." },
+        "The store's objects are read from another source; fields: source, which is a relay's VM or \"store\"." },
     EventInfo{ EventId::RelayFailed, "RelayFailed", EventLevel::Warn,
-        "A router that answers in place of the store didn't, or refused; it rests. Fields: router, kind, detail." },
+        "A relay didn't answer or refused, and is not asked for a while; fields: router, kind, detail." },
     EventInfo{ EventId::ConfigurationApplied, "ConfigurationApplied", EventLevel::Info,
         "A configuration is in force, or was older than the one in force; fields: number, revision." },
     EventInfo{ EventId::UpstreamRegistration, "UpstreamRegistration", EventLevel::Info,
--- a/src/storewatch/internal/kindmirror.cpp
+++ b/src/storewatch/internal/kindmirror.cpp
@@ -23,8 +23,8 @@
     m_removals.pop_front();
 }
 
-// What was added and removed again since the last response stays unknown, so readers that know less
-// than the list must list as well.
+// An object that was added and removed again since the last response stays unknown, so readers that
+// know an earlier revision than the list's must list as well.
 void KindMirror::applyList(const std::vector<StoredObject> &objects, kernel::Revision revision,
                            kernel::Revision knownBefore)
 {
--- a/src/storewatch/internal/kindmirror.h
+++ b/src/storewatch/internal/kindmirror.h
@@ -10,8 +10,8 @@
 
 namespace acaciasail::storewatch {
 
-/// The objects of one kind as last heard of, with the recent removals, for routers that read them
-/// here in place of the store.
+/// The objects of one kind as last received, with the recent removals, for other routers that read
+/// them from this one in place of the store.
 class KindMirror
 {
 public:
@@ -23,7 +23,8 @@
     void applyChange(const StoredObject &object, kernel::Revision revision);
 
     bool isListed() const { return m_listed; }
-    /// Returns a revision up to which a reader must know all changes to lack none of these.
+    /// Returns the revision of the newest change; a reader that knows all changes up to it lacks
+    /// none.
     kernel::Revision changedAt() const { return m_changedAt; }
     std::vector<StoredObject> objects() const;
     /// Returns the newest state of each object that changed after the revision, removals included;
@@ -42,7 +43,7 @@
 
     bool m_listed = false;
     std::map<std::string, Entry> m_entries;
-    // In the order in which they were heard of, the oldest first.
+    // In the order in which they were received, the oldest first.
     std::deque<Entry> m_removals;
     // Removals up to this revision are not known.
     kernel::Revision m_historyStart;
--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -138,7 +138,7 @@
     const ListAttempt attempt = std::move(m_listAttempts.at(number));
     endCalls();
     if (liesBehind(attempt.relayed)) {
-        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lies behind" });
+        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lags behind" });
         return;
     }
     const bool fromRelay = !attempt.relayed.empty();
@@ -168,14 +168,14 @@
     return m_reader.pace ? m_reader.pace(m_kind, m_options) : m_options;
 }
 
-// Returns whether a relay's answer may lack a change that was handed on.
+// Returns whether a relay's response may lack a change that was passed to the handlers.
 bool KindWatcher::liesBehind(const std::map<std::string, RelayedKnowledge> &relayed) const
 {
     const auto found = relayed.find(m_kind);
     return found != relayed.end() && found->second.known < m_includes;
 }
 
-// A relay has accounted for all changes up to the revision that it names for the kind.
+// Records that all changes are known up to the revision that a relay names for the kind.
 void KindWatcher::takeRelayed(const std::map<std::string, RelayedKnowledge> &relayed,
                               kernel::Revision revision)
 {
@@ -266,8 +266,8 @@
     expectResponse(wait + watchResponseLimit);
 }
 
-// Returns whether a change was handed on before and is followed by another one of the object, so
-// that it would take the object back.
+// Returns whether the change may have been passed on before and the page has a later one of the
+// same object; passing it on again would restore an earlier state for a moment.
 bool KindWatcher::isRepeated(const StoredObject &object, const ObjectPage &page) const
 {
     const auto last = std::ranges::find(page.objects.rbegin(), page.objects.rend(), object.name,
@@ -275,7 +275,7 @@
     return object.revision <= m_includes && &*last != &object;
 }
 
-// Returns the newest revision that the page's objects may include.
+// Returns the newest revision whose changes the page's objects may include.
 kernel::Revision KindWatcher::newestState(const ObjectPage &page) const
 {
     const auto found = page.relayed.find(m_kind);
@@ -292,7 +292,7 @@
     const ObjectPage &page = outcome.value();
     const bool fromRelay = !page.relayed.empty();
     if (liesBehind(page.relayed) && !page.objects.empty()) {
-        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lies behind" });
+        onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lags behind" });
         return;
     }
     logUnreadable(page.unreadable);
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -62,8 +62,8 @@
     /// revision.
     void requireRevision(NamedRevision named);
 
-    /// Takes over that this kind is known up to what a relay knows, unless the watcher lacks a
-    /// change that the relay has. Returns whether it lacks none.
+    /// Takes over the revision and the age of a relay's knowledge of this kind, unless the watcher
+    /// lacks a change that the relay has. Returns false if it lacks one.
     bool confirm(const RelayedKnowledge &knowledge);
     /// Lists the objects again if the watcher still lacks a change that the relay has.
     void requireRelayed(const RelayedKnowledge &knowledge);
@@ -71,8 +71,8 @@
     /// Returns whether the last calls were answered.
     bool isReachable() const { return m_reachable; }
     const std::string &kind() const { return m_kind; }
-    /// Returns what another router may be told of this kind; nothing before the first list, and
-    /// while a change may be missed.
+    /// Returns what other routers are told about the knowledge of this kind; nothing before the
+    /// first list, and while a change may be missing.
     std::optional<RelayedKnowledge> knowledge() const;
     /// Returns the kind's objects and its recent removals.
     const KindMirror &mirror() const { return m_mirror; }
@@ -139,7 +139,7 @@
 
     KindMirror m_mirror;
     kernel::Revision m_revision;
-    // Newest revision that the objects handed on may include. What a relay tells of an earlier
+    // Newest revision whose changes the handlers may have got. A relay's response of an earlier
     // state is not applied, as it could undo a change.
     kernel::Revision m_includes;
     // As the last response of this kind named it; it may include changes that nobody has seen yet.
--- a/src/storewatch/internal/relayselection.cpp
+++ b/src/storewatch/internal/relayselection.cpp
@@ -10,7 +10,7 @@
 constexpr kernel::Duration firstRest = std::chrono::milliseconds(500);
 constexpr kernel::Duration maxRest = std::chrono::seconds(8);
 constexpr int maxRestDoublings = 4;
-// Routers that are asked; the ranks after these are read from only once these have gone.
+// Number of routers ranked before this one that it may read from.
 constexpr std::size_t maxAsked = 6;
 
 } // namespace
--- a/src/storewatch/internal/relayselection.h
+++ b/src/storewatch/internal/relayselection.h
@@ -9,7 +9,7 @@
 
 namespace acaciasail::storewatch {
 
-/// Number of routers of a data centre that read from the store while all are well.
+/// Number of routers of a data centre that read from the store while none of them fails.
 constexpr std::size_t relaysPerDataCentre = 2;
 /// Number of known routers of a data centre below which each reads from the store itself.
 constexpr std::size_t minRoutersForRelays = 6;
@@ -27,7 +27,8 @@
 
     /// Sets the data centre of this router; without one it reads from the store itself.
     void setDataCentre(const kernel::DataCentreId &dataCentre) { m_dataCentre = dataCentre; }
-    /// Sets where a router answers others, and its data centre; nothing if it doesn't.
+    /// Sets the address on which a router serves others, nothing if it doesn't, and its data
+    /// centre.
     void setRouter(const kernel::VmId &vm, const std::optional<kernel::Endpoint> &endpoint,
                    const kernel::DataCentreId &dataCentre);
     /// Forgets all routers.
@@ -40,8 +41,8 @@
     /// Returns a router's address; nothing if it is not known any more.
     std::optional<kernel::Endpoint> endpoint(const kernel::VmId &vm) const;
 
-    /// Records that a router didn't answer, or refused. It rests for a time that grows with each
-    /// failure in a row.
+    /// Records that a router didn't answer, or refused. It is not selected for a time that grows
+    /// with each consecutive failure.
     void recordFailure(const kernel::VmId &vm, kernel::Instant now);
     void recordSuccess(const kernel::VmId &vm);
 
--- a/src/storewatch/internal/storereader.h
+++ b/src/storewatch/internal/storereader.h
@@ -42,7 +42,8 @@
     bool hasMore = false;
     /// Number of objects that can't be read; they are left out.
     std::size_t unreadable = 0;
-    /// The store's revision at the time of the call; that up to which a relay knows the kind.
+    /// The store's revision at the time of the call; from a relay, the revision up to which it
+    /// knows the kind.
     kernel::Revision revision;
     /// What the relay that answered knows, by kind; empty if the store answered.
     std::map<std::string, RelayedKnowledge> relayed = {};
@@ -113,8 +114,8 @@
     std::function<StoreCall(const std::string &kind, kernel::Revision after, kernel::Duration wait,
                             kernel::Callback<ObjectPage> callback)>
         watch;
-    /// Returns how a kind is watched at the source that is read now; empty if that is always as the
-    /// given options say.
+    /// Returns the options with which a kind is watched at the present source; empty if these are
+    /// always the given ones.
     std::function<WatchOptions(const std::string &kind, const WatchOptions &options)> pace = {};
 };
 
