--- a/src/forwarding/internal/request/jobqueueing.cpp
+++ b/src/forwarding/internal/request/jobqueueing.cpp
@@ -120,8 +120,8 @@
     return m_request.work ? m_request.work->promptTokens + m_request.work->maxOutputTokens : 0;
 }
 
-// Returns upstreams that have no room for this request, judged by this router's own requests. Of
-// those that run no models, only candidates are considered.
+// Returns upstreams that have no room for this request, judged by this router's own requests. The
+// result may include engines that are not among the candidates.
 std::set<kernel::UpstreamId>
 Job::upstreamsWithoutRoom(const std::vector<const Upstream *> &candidates) const
 {
--- a/src/forwarding/tests/coldupstreams_tests.cpp
+++ b/src/forwarding/tests/coldupstreams_tests.cpp
@@ -17,7 +17,7 @@
 constexpr kernel::Duration coldTime = 3s;
 // Time after which the leases that the routers took at their start have lapsed.
 constexpr kernel::Duration leaseTime = 70s;
-// Far more than the cold upstreams of a data centre bear.
+// Far above the limits of a data centre's cold upstreams.
 constexpr double manyRequests = 600;
 
 // 63 routers in front of three data centres with upstreams of one service.
@@ -232,7 +232,7 @@
     }
 }
 
-// The registrations can't tell anybody that the upstreams restarted.
+// While the store is away, no registration shows that the upstreams restarted.
 TEST(ColdUpstreams, FleetKeepsTheLimitWhenADataCentreReturnsWhileTheStoreIsAway)
 {
     for (std::uint64_t seed = 1; seed <= 4; ++seed) {
@@ -257,8 +257,8 @@
     }
 }
 
-// Nothing tells the routers beforehand, so the upstreams' usual rate is below what a cold one
-// bears.
+// The routers get no notice beforehand, so the upstreams' usual rate is below the limit of a cold
+// one.
 TEST(ColdUpstreams, UpstreamsMayTurnColdAtAnyMoment)
 {
     constexpr double usualRequests = 0.6 * coldPerSecond * upstreamCount;
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -335,7 +335,7 @@
     EXPECT_EQ(firstModel(routeWithModels, { "own", 1, 1, {} }), "own");
 }
 
-// Guards against a sound response that is given up for one that can't come in time.
+// Guards against a valid response that is given up for one that can't come in time.
 TEST(ModelChoice, AsksLargestModelThatRespondsWithinObjective)
 {
     Route routeWithModels = route("a", "/");
--- a/src/forwarding/tests/evacuations_tests.cpp
+++ b/src/forwarding/tests/evacuations_tests.cpp
@@ -46,7 +46,7 @@
         moveTo(id, "engines", dataCentre);
     }
 
-    // Cold upstreams of both services bear this many requests per second.
+    // Limit of cold upstreams of both services in requests per second.
     void setColdLimit(double perSecond)
     {
         const auto next = makeConfiguration(2);
--- a/src/forwarding/tests/queueworld.cpp
+++ b/src/forwarding/tests/queueworld.cpp
@@ -125,7 +125,7 @@
 {
     Arrival arrival;
     arrival.atMs = atMs;
-    // The square makes a few sessions hot.
+    // Squaring makes a few sessions much more frequent than the others.
     const double point = kernel::uniform01(m_random);
     arrival.session = static_cast<int>(point * point * m_options.sessions);
     // Some requests of a session come to other routers.
--- a/src/forwarding/tests/queueworld.h
+++ b/src/forwarding/tests/queueworld.h
@@ -16,7 +16,7 @@
     Affinity,
     /// The earliest expected finish.
     Finish,
-    /// The earliest actual finish at any upstream: the bound of what a rule can reach.
+    /// The earliest actual finish at any upstream: the best that a rule can reach.
     Perfect,
 };
 
--- a/src/forwarding/tests/routerfleet.h
+++ b/src/forwarding/tests/routerfleet.h
@@ -63,7 +63,8 @@
     void setConnected(std::size_t number, bool writes, bool reads);
     /// Replaces an upstream's process under the same id.
     void restartUpstream(std::size_t number);
-    /// Lets cold upstreams bear this many requests per second, and stay cold for this time.
+    /// Sets the limit of cold upstreams in requests per second, and the time for which they stay
+    /// cold.
     void setColdLimit(double perSecond, kernel::Duration time);
     /// Moves an upstream to a data centre, before the routers are told of it.
     void setDataCentre(std::size_t upstream, const std::string &dataCentre);
--- a/src/framework/http/tests/callerlimits_tests.cpp
+++ b/src/framework/http/tests/callerlimits_tests.cpp
@@ -1,4 +1,5 @@
-// A server's limits on callers: what is refused and closed, and what is not in calm.
+// A server's limits on callers: which requests are refused, which connections are closed, and which
+// are not as long as the limits are kept.
 
 #include <sys/socket.h>
 
@@ -149,8 +150,8 @@
     EXPECT_GE(server->callerCounts().closedForRoom, 20U);
 }
 
-// A peer that answers but has no room for more bytes counts as unreachable to the system's own
-// time-out of unacknowledged bytes.
+// The system's timeout of unacknowledged bytes also ends a peer that acknowledges probes while its
+// receive window is full.
 TEST_F(CallerLimits, ACallerThatReadsNothingForAWhileGetsItsWholeAnswer)
 {
     constexpr std::size_t answerBytes = 2U << 20U;
--- a/src/framework/http/tests/client_tests.cpp
+++ b/src/framework/http/tests/client_tests.cpp
@@ -65,8 +65,8 @@
     EXPECT_EQ(m_server->connections(), 1U) << "the connection must be used again";
 }
 
-// Guards against a closed connection that is touched again for the notice of its last write. Shows
-// under the sanitizers.
+// Guards against a use of a freed socket by the callback of its last write. The sanitizers report
+// it.
 TEST_F(HttpClient, AnExchangeMayEndInTheTurnInWhichItsRequestIsWritten)
 {
     serve([](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
--- a/src/storewatch/tests/relay_tests.cpp
+++ b/src/storewatch/tests/relay_tests.cpp
@@ -1,4 +1,4 @@
-// What routers that read from each other know, and from which they read.
+// Knowledge of routers that read from each other, and the selection of the router to read from.
 
 #include <algorithm>
 #include <map>
@@ -197,7 +197,7 @@
 
 const std::vector<std::string> kinds{ "servers", "config" };
 
-// The store of a play, whose whole past is known.
+// The store of a simulated run, with its whole history.
 class RecordedStore
 {
 public:
@@ -414,7 +414,7 @@
             [this](const std::string &kind) { return recordingHandlers(kind); });
     }
 
-    /// Plays with faults, then without; returns what went wrong, if anything did.
+    /// Runs with faults, then without; returns what went wrong, if anything did.
     std::string run()
     {
         for (int i = 0; i < 3000 && m_mistake.empty(); ++i) {
