--- a/soak/crowds/crowds_tests.cpp
+++ b/soak/crowds/crowds_tests.cpp
@@ -225,32 +225,32 @@
 protected:
     Crowds()
     {
-        runner.behaviour().extraBytes = maxBodyBytes;
+        m_runner.behaviour().extraBytes = maxBodyBytes;
         nlohmann::json configuration
             = platform::testing::makeConfigurationSpec(1, { { "look", "safe", "desk" } });
         platform::testing::setCallerLimits(configuration, maxBodyBytes, maxHeaderBytes);
-        store.put("config", "main", configuration);
-        nlohmann::json spec = platform::testing::makeRunnerSpec("desk", runner.endpoint());
+        m_store.put("config", "main", configuration);
+        nlohmann::json spec = platform::testing::makeRunnerSpec("desk", m_runner.endpoint());
         spec["Slots"] = bodyCrowd;
-        store.put("servers", "r1", spec);
-        std::filesystem::create_directories(folder);
-        std::ofstream(folder + "/router.toml")
+        m_store.put("servers", "r1", spec);
+        std::filesystem::create_directories(m_folder);
+        std::ofstream(m_folder + "/router.toml")
             << "[router]\nvm = \"vm\"\ndata_centre = \"z\"\n"
-            << memorySetting() << "[callers]\nlisten = \"" << kernel::toString(callers)
+            << memorySetting() << "[callers]\nlisten = \"" << kernel::toString(m_callers)
             << "\"\nmax_connections = " << maxConnections << "\n[readiness]\nlisten = \""
-            << kernel::toString(readiness) << "\"\n[metrics]\nlisten = \""
-            << kernel::toString(metrics) << "\"\n[store]\naddress = \""
-            << kernel::toString(store.endpoint()) << "\"\n";
-        process = std::make_unique<ChildProcess>(
+            << kernel::toString(m_readiness) << "\"\n[metrics]\nlisten = \""
+            << kernel::toString(m_metrics) << "\"\n[store]\naddress = \""
+            << kernel::toString(m_store.endpoint()) << "\"\n";
+        m_process = std::make_unique<ChildProcess>(
             std::vector<std::string>{ ACACIASAIL_ROUTER_PROGRAM, "--settings",
-                                      folder + "/router.toml" },
-            folder + "/router.log");
+                                      m_folder + "/router.toml" },
+            m_folder + "/router.log");
     }
 
-    ~Crowds() override
+    void TearDown() override
     {
-        process = nullptr;
-        std::filesystem::remove_all(folder);
+        m_process = nullptr;
+        std::filesystem::remove_all(m_folder);
     }
 
     static std::string memorySetting()
@@ -263,24 +263,24 @@
     {
         std::optional<int> status;
         http::ClientRequest request = platform::testing::makeCallerRequest(
-            router, path, "ask-" + std::to_string(++lastId), patience);
+            router, path, "ask-" + std::to_string(++m_lastId), patience);
         request.body = body;
         request.totalTimeout = patience;
         request.maxIdle = {};
-        client.fetch(request, [&](kernel::Completion<http::ClientResponse> response) {
+        m_client.fetch(request, [&](kernel::Completion<http::ClientResponse> response) {
             status = response.ok() ? response.value().head.status : 0;
         });
-        loop.runUntil([&] { return status.has_value(); }, 2 * patience);
+        m_loop.runUntil([&] { return status.has_value(); }, 2 * patience);
         return status.value_or(0);
     }
 
     bool waitUntilServed()
     {
-        const kernel::Instant end = loop.scheduler().now() + patience;
-        while (loop.scheduler().now() < end) {
-            if (ask(callers, "/look/first", "") == 200)
+        const kernel::Instant end = m_loop.scheduler().now() + patience;
+        while (m_loop.scheduler().now() < end) {
+            if (ask(m_callers, "/look/first", "") == 200)
                 return true;
-            loop.runOnce(20ms);
+            m_loop.runOnce(20ms);
         }
         return false;
     }
@@ -288,7 +288,7 @@
     std::size_t peakMegabytes() const
     {
         constexpr std::size_t kilobytesPerMegabyte = 1024;
-        std::ifstream status("/proc/" + std::to_string(process->pid()) + "/status");
+        std::ifstream status("/proc/" + std::to_string(m_process->pid()) + "/status");
         for (std::string line; std::getline(status, line);) {
             if (line.starts_with("VmHWM:"))
                 return std::stoull(line.substr(line.find_first_of("0123456789")))
@@ -299,7 +299,7 @@
 
     std::size_t descriptors() const
     {
-        const std::filesystem::directory_iterator files("/proc/" + std::to_string(process->pid())
+        const std::filesystem::directory_iterator files("/proc/" + std::to_string(m_process->pid())
                                                         + "/fd");
         return static_cast<std::size_t>(std::distance(begin(files), end(files)));
     }
@@ -307,39 +307,39 @@
     kernel::Endpoint addressOf(Place place) const
     {
         if (place == Place::Readiness)
-            return readiness;
-        return place == Place::Metrics ? metrics : callers;
+            return m_readiness;
+        return place == Place::Metrics ? m_metrics : m_callers;
     }
 
     // Plays the crowd, and checks what must hold while all its connections are still open.
     void playAndCheck(Form form, Place place)
     {
         ASSERT_TRUE(waitUntilServed());
-        Crowd crowd(loop, addressOf(place), crowdSize(form), makeBehaviour(form, place));
+        Crowd crowd(m_loop, addressOf(place), crowdSize(form), makeBehaviour(form, place));
         crowd.play(playTime);
-        ASSERT_TRUE(process->running()) << process->ending();
+        ASSERT_TRUE(m_process->running()) << m_process->ending();
         const std::size_t peak = peakMegabytes();
         const std::size_t open = descriptors();
         std::cout << "peak " << peak << " MB, descriptors " << open << "\n";
         EXPECT_GT(peak, 0U);
         EXPECT_LE(peak, maxPeakMegabytes);
         EXPECT_LE(open, maxDescriptors);
-        EXPECT_EQ(ask(callers, "/look/after", "ordinary"), 200);
-        EXPECT_TRUE(process->running()) << process->ending();
+        EXPECT_EQ(ask(m_callers, "/look/after", "ordinary"), 200);
+        EXPECT_TRUE(m_process->running()) << m_process->ending();
     }
 
-    http::EventLoop loop;
-    StoreStandin store{ loop, { "127.0.0.1", 0 } };
-    RunnerStandin runner{ loop, { "127.0.0.1", 0 }, "r1" };
-    http::Client client{ loop };
-    kernel::Endpoint callers = freeEndpoint();
-    kernel::Endpoint readiness = freeEndpoint();
-    kernel::Endpoint metrics = freeEndpoint();
-    std::string folder = (std::filesystem::temp_directory_path()
-                          / ("acaciasail-crowds-" + std::to_string(getpid())))
-                             .string();
-    std::unique_ptr<ChildProcess> process;
-    int lastId = 0;
+    http::EventLoop m_loop;
+    StoreStandin m_store{ m_loop, { "127.0.0.1", 0 } };
+    RunnerStandin m_runner{ m_loop, { "127.0.0.1", 0 }, "r1" };
+    http::Client m_client{ m_loop };
+    kernel::Endpoint m_callers = freeEndpoint();
+    kernel::Endpoint m_readiness = freeEndpoint();
+    kernel::Endpoint m_metrics = freeEndpoint();
+    std::string m_folder = (std::filesystem::temp_directory_path()
+                            / ("acaciasail-crowds-" + std::to_string(getpid())))
+                               .string();
+    std::unique_ptr<ChildProcess> m_process;
+    int m_lastId = 0;
 };
 
 namespace {
--- a/src/app/router/router.cpp
+++ b/src/app/router/router.cpp
@@ -1,5 +1,6 @@
 #include "router/router.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <sys/stat.h>
@@ -20,8 +21,9 @@
 // The process may exit once no request has been in progress for this time.
 constexpr kernel::Duration drainIdleTime = std::chrono::milliseconds(200);
 // Connections of the internal listener, on which other routers of the data centre keep watches
-// open.
-constexpr std::size_t maxRelayConnections = 300;
+// open: this fraction of the connections of callers, between the two bounds.
+constexpr std::size_t callerConnectionsPerRelayConnection = 4;
+constexpr std::size_t maxRelayConnections = 1000;
 // Memory of the internal listener, for the responses that other routers read at the same time.
 constexpr std::size_t relayMemoryBytes = 6U << 20U;
 // Part of the stop timeout that is reserved for the exit of the process itself, and the part before
@@ -148,7 +150,9 @@
     metrics.listen = m_settings.metricsListen;
     limitInternalServer(metrics);
     metrics.acceptsBody = [](const http::ServerRequest &head) { return head.method == "POST"; };
-    metrics.maxConnections = maxRelayConnections;
+    metrics.maxConnections
+        = std::clamp(m_settings.maxConnections / callerConnectionsPerRelayConnection,
+                     internalConnections, maxRelayConnections);
     metrics.memoryBytes = relayMemoryBytes;
     BOOST_LEAF_ASSIGN(
         m_metricsServer,
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -108,7 +108,8 @@
     }
     recordTime(m_state.latencyEstimates.firstByte[{ m_plan.route.name, m_attempt->model }],
                m_attempt->lastActivity - m_attempt->startedAt);
-    recordModelTime();
+    if (head.status < firstErrorStatus)
+        recordModelTime();
     m_attempt->head = std::move(head);
     if (m_attempt->head->status < firstErrorStatus && !m_attempts.responseStarted && escalate())
         return;
--- a/src/forwarding/internal/request/jobqueueing.cpp
+++ b/src/forwarding/internal/request/jobqueueing.cpp
@@ -131,9 +131,10 @@
         return full;
     const std::int64_t memory = service->second.memoryTokens;
     if (memory > 0 && memoryNeed() <= memory) {
-        for (const auto &[upstream, tokens] : m_state.tokensInFlight) {
-            if (tokens + memoryNeed() > memory)
-                full.insert(upstream);
+        for (const Upstream *upstream : candidates) {
+            const auto held = m_state.tokensInFlight.find(upstream->id);
+            if (held != m_state.tokensInFlight.end() && held->second + memoryNeed() > memory)
+                full.insert(upstream->id);
         }
     }
     if (m_ticket.empty())
--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -286,7 +286,8 @@
     for (const auto &[id, known] : state.directory.upstreams) {
         const auto capacity = capacities.find(known.entry.service);
         if (capacity == capacities.end() || known.entry.draining
-            || state.directory.evacuated.contains(known.entry.dataCentre))
+            || isEvacuated(state.directory, known.entry)
+            || isRejected(state.directory, known.entry))
             continue;
         const auto record = state.records.find(id);
         const bool isAvailable
