--- a/src/forwarding/tests/coldupstreams_tests.cpp
+++ b/src/forwarding/tests/coldupstreams_tests.cpp
@@ -67,7 +67,7 @@
 
     std::shared_ptr<Configuration> makeColdConfiguration(double perSecond) const
     {
-        const auto next = makeConfiguration(2);
+        auto next = makeConfiguration(2);
         Service service;
         service.name = kernel::ServiceName("plain");
         service.coldTime = coldTime;
--- a/src/forwarding/tests/decisions_tests.cpp
+++ b/src/forwarding/tests/decisions_tests.cpp
@@ -359,7 +359,7 @@
     const kernel::Instant now{ 1000s };
     EXPECT_FALSE(expectedFirstEvent(estimate, 1000, now));
     for (int i = 0; i < 40; ++i) {
-        const std::int64_t tokens = 1000 * (1 + i % 10);
+        const std::int64_t tokens = std::int64_t{ 1000 } * (1 + i % 10);
         recordFirstEvent(estimate, tokens, 50ms + tokens * 30us, now);
     }
     EXPECT_NEAR(kernel::toSeconds(expectedFirstEvent(estimate, 54000, now).value_or(0ms)), 1.67,
--- a/src/storewatch/tests/relay_tests.cpp
+++ b/src/storewatch/tests/relay_tests.cpp
@@ -572,7 +572,7 @@
     {
         if (kernel::uniformBelow(m_random, 100) == 0) {
             const std::size_t relay = kernel::uniformBelow(m_random, relayCount);
-            m_cut[relay] = !m_cut[relay];
+            m_cut[relay] = m_cut[relay] == 0 ? 1 : 0;
         }
         if (kernel::uniformBelow(m_random, 400) == 0)
             m_store.dropHistorySilently();
