--- a/src/app/router/tests/storerelays_tests.cpp
+++ b/src/app/router/tests/storerelays_tests.cpp
@@ -49,13 +49,20 @@
 
     kernel::Endpoint endpoint() const { return m_server->endpoint(); }
     /// Leaves all calls without an answer from now on, also those that are open.
-    void cut() { m_isCut = true; }
+    void cut() { m_state->isCut = true; }
 
 private:
+    // Shared with the calls that are open, which may end after the path has gone.
+    struct State
+    {
+        bool isCut = false;
+        std::vector<std::shared_ptr<http::Responder>> unanswered;
+    };
+
     void pass(const http::ServerRequest &request, const std::shared_ptr<http::Responder> &responder)
     {
-        if (m_isCut) {
-            m_unanswered.push_back(responder);
+        if (m_state->isCut) {
+            m_state->unanswered.push_back(responder);
             return;
         }
         http::ClientRequest passed;
@@ -63,21 +70,20 @@
         passed.method = request.method;
         passed.path = request.target;
         passed.body = request.body;
-        m_client.fetch(
-            passed, [this, responder](const kernel::Completion<http::ClientResponse> &outcome) {
-                if (m_isCut)
-                    m_unanswered.push_back(responder);
-                else if (outcome.ok())
-                    responder->send(outcome.value().head.status, {}, outcome.value().body);
-                else
-                    responder->abort();
-            });
+        m_client.fetch(passed, [state = m_state, responder](
+                                   const kernel::Completion<http::ClientResponse> &outcome) {
+            if (state->isCut)
+                state->unanswered.push_back(responder);
+            else if (outcome.ok())
+                responder->send(outcome.value().head.status, {}, outcome.value().body);
+            else
+                responder->abort();
+        });
     }
 
     http::Client &m_client;
     kernel::Endpoint m_store;
-    bool m_isCut = false;
-    std::vector<std::shared_ptr<http::Responder>> m_unanswered;
+    std::shared_ptr<State> m_state = std::make_shared<State>();
     std::unique_ptr<http::Server> m_server;
 };
 
