--- /dev/null
+++ b/review/standins-2/runner.cpp
@@ -0,0 +1,129 @@
+#include "runner.h"
+
+#include <array>
+#include <cstdio>
+#include <utility>
+
+namespace review {
+
+namespace {
+
+// Time for which a channel without a request is kept.
+constexpr std::chrono::seconds idleTime{ 20 };
+
+std::string chunk(const std::string &text)
+{
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", text.size());
+    return size.data() + text + "\r\n";
+}
+
+} // namespace
+
+Runner::Runner(RunnerOptions options, Record &record)
+    : m_options(std::move(options))
+    , m_record(record)
+    , m_listener(std::make_unique<Listener>([this](Connection &connection) { serve(connection); }))
+{}
+
+Runner::~Runner()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_stopping = true;
+    }
+    m_slotFreed.notify_all();
+    m_listener.reset();
+}
+
+std::map<std::string, int> Runner::runs()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+std::string Runner::event(const std::string &request, int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: " + request + "\n\n";
+}
+
+bool Runner::takeSlot(const std::string &id)
+{
+    std::unique_lock lock(m_mutex);
+    if (m_running >= m_options.slots) {
+        if (m_waiting >= m_options.queue)
+            return false;
+        ++m_waiting;
+        m_slotFreed.wait(lock, [this] { return m_stopping || m_running < m_options.slots; });
+        --m_waiting;
+    }
+    ++m_running;
+    ++m_runs[id];
+    return true;
+}
+
+void Runner::freeSlot()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        --m_running;
+    }
+    m_slotFreed.notify_one();
+}
+
+bool Runner::sendStream(const std::string &id, Connection &connection) const
+{
+    if (!connection.write(
+            "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Stamp: stamp-" + id
+            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+        return false;
+    for (int number = 1; number <= m_options.events; ++number) {
+        std::this_thread::sleep_for(m_options.work);
+        if (connection.isClosedByPeer() || !connection.write(chunk(event(id, number))))
+            return false;
+    }
+    return connection.write(chunk(""));
+}
+
+bool Runner::answer(const Message &request, Connection &connection)
+{
+    const std::string id = request.header("x-attempt-id");
+    const std::string expected = request.header("x-expect-instance");
+    if (!expected.empty() && expected != m_options.id)
+        return connection.write(
+            formatMessage("HTTP/1.1 421 Misdirected Request",
+                          { { "X-Instance-Id", m_options.id }, { "X-Attempt-Id", id } }, ""));
+    if (!takeSlot(id)) {
+        m_record.write(m_options.id + " rejects " + id + " with 503 as not run");
+        return connection.write(formatMessage("HTTP/1.1 503 Service Unavailable",
+                                              { { "X-Not-Run", "1" }, { "X-Attempt-Id", id } },
+                                              ""));
+    }
+    m_record.write(m_options.id + " runs " + id);
+    bool written = false;
+    if (m_options.events > 0) {
+        written = sendStream(id, connection);
+    } else {
+        std::this_thread::sleep_for(m_options.work);
+        written = connection.write(formatMessage(
+            "HTTP/1.1 200 OK", { { "X-Attempt-Id", id }, { "X-Response-Stamp", "stamp-" + id } },
+            "answer to " + id));
+    }
+    m_record.write(m_options.id + (written ? " has answered " : " could not answer ") + id);
+    freeSlot();
+    return written;
+}
+
+void Runner::serve(Connection &connection)
+{
+    while (const auto request = connection.read(Clock::now() + idleTime)) {
+        const bool isHealthCheck = request->target() == "/healthz";
+        const bool usable = isHealthCheck ? connection.write(formatMessage(
+                                "HTTP/1.1 200 OK", { { "X-Instance-Id", m_options.id } }, ""))
+                                          : answer(*request, connection);
+        if (!usable)
+            return;
+    }
+}
+
+} // namespace review
