--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -71,11 +71,43 @@
     m_slotFreed.notify_one();
 }
 
+std::string Runner::wholeBody(const std::string &request) const
+{
+    std::string body;
+    for (int number = 1; number <= m_options.events; ++number)
+        body += event(request, number);
+    if (m_options.events == 0)
+        body = "answer to " + request;
+    return body + std::string(static_cast<std::size_t>(m_options.pieces) * pieceBytes, 'x');
+}
+
+std::string Runner::formatHead(const std::string &id, const std::string &fields) const
+{
+    return "HTTP/1.1 " + m_options.status + "\r\nX-Attempt-Id: " + id
+           + "\r\nX-Response-Stamp: stamp-" + id + "\r\n" + fields + "\r\n";
+}
+
+bool Runner::sendPlain(const std::string &id, Connection &connection) const
+{
+    const std::string body = wholeBody(id);
+    const std::string head
+        = formatHead(id, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    std::this_thread::sleep_for(m_options.work);
+    std::size_t sent = body.size() - static_cast<std::size_t>(m_options.pieces) * pieceBytes;
+    if (!connection.write(head + body.substr(0, sent)))
+        return false;
+    for (; sent < body.size(); sent += pieceBytes) {
+        std::this_thread::sleep_for(m_options.work);
+        if (connection.isClosedByPeer() || !connection.write(body.substr(sent, pieceBytes)))
+            return false;
+    }
+    return true;
+}
+
 bool Runner::sendStream(const std::string &id, Connection &connection) const
 {
     if (!connection.write(
-            "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + id + "\r\nX-Response-Stamp: stamp-" + id
-            + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+            formatHead(id, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n")))
         return false;
     for (int number = 1; number <= m_options.events; ++number) {
         std::this_thread::sleep_for(m_options.work);
@@ -100,15 +132,8 @@
                                               ""));
     }
     m_record.write(m_options.id + " runs " + id);
-    bool written = false;
-    if (m_options.events > 0) {
-        written = sendStream(id, connection);
-    } else {
-        std::this_thread::sleep_for(m_options.work);
-        written = connection.write(formatMessage(
-            "HTTP/1.1 200 OK", { { "X-Attempt-Id", id }, { "X-Response-Stamp", "stamp-" + id } },
-            "answer to " + id));
-    }
+    const bool written
+        = m_options.events > 0 ? sendStream(id, connection) : sendPlain(id, connection);
     m_record.write(m_options.id + (written ? " has answered " : " could not answer ") + id);
     freeSlot();
     return written;
--- a/review/standins-2/runner.h
+++ b/review/standins-2/runner.h
@@ -9,6 +9,8 @@
 
 namespace review {
 
+constexpr std::size_t pieceBytes = 50000;
+
 /// How a runner stand-in works.
 struct RunnerOptions
 {
@@ -20,6 +22,10 @@
     std::chrono::milliseconds work{ 30 };
     /// Events of the stream that answers each request; 0 for plain answers.
     int events = 0;
+    /// Status line of the answers to requests that ran.
+    std::string status = "200 OK";
+    /// Pieces of `pieceBytes` that follow the text of a plain answer, each after the same time.
+    int pieces = 0;
 };
 
 /// A sound stand-in of a runner.
@@ -36,6 +42,11 @@
     /// Returns how often each request began to run here, by its id.
     std::map<std::string, int> runs();
 
+    /// Ends the runner as a crash does: it doesn't listen any more, and its channels are closed.
+    void crash() { m_listener->stop(); }
+
+    /// Returns the whole body of the answer to a request.
+    std::string wholeBody(const std::string &request) const;
     /// Returns the event of a stream with this number, from 1.
     static std::string event(const std::string &request, int number);
 
@@ -47,6 +58,8 @@
     // Returns whether the channel can be used for the next request.
     bool answer(const Message &request, Connection &connection);
     bool sendStream(const std::string &id, Connection &connection) const;
+    bool sendPlain(const std::string &id, Connection &connection) const;
+    std::string formatHead(const std::string &id, const std::string &fields) const;
 
     RunnerOptions m_options;
     Record &m_record;
--- a/review/standins-2/wire.cpp
+++ b/review/standins-2/wire.cpp
@@ -175,25 +175,45 @@
     }
 }
 
-std::optional<Message> Connection::read(Clock::time_point until)
+bool Connection::readBody(const Message &head, std::string &body, Clock::time_point until)
 {
-    auto message = readHead(until);
-    if (!message)
-        return std::nullopt;
-    if (message->header("transfer-encoding") == "chunked")
-        return readChunks(message->body, until) ? message : std::nullopt;
+    if (head.header("transfer-encoding") == "chunked")
+        return readChunks(body, until);
     std::size_t size = 0;
-    const std::string length = message->header("content-length");
+    const std::string length = head.header("content-length");
     std::from_chars(length.data(), length.data() + length.size(), size);
     while (m_buffer.size() < size) {
-        if (!fill(until))
-            return std::nullopt;
+        if (!fill(until)) {
+            body = m_buffer;
+            return false;
+        }
     }
-    message->body = m_buffer.substr(0, size);
+    body = m_buffer.substr(0, size);
     m_buffer.erase(0, size);
+    return true;
+}
+
+std::optional<Message> Connection::read(Clock::time_point until)
+{
+    auto message = readHead(until);
+    if (!message || !readBody(*message, message->body, until))
+        return std::nullopt;
     return message;
 }
 
+bool Connection::readToEnd(std::string &bytes, Clock::time_point until)
+{
+    bytes = std::exchange(m_buffer, {});
+    std::array<char, 65536> piece{};
+    while (isReadable(fd(), until)) {
+        const ssize_t count = recv(fd(), piece.data(), piece.size(), 0);
+        if (count <= 0)
+            return count == 0;
+        bytes.append(piece.data(), static_cast<std::size_t>(count));
+    }
+    return false;
+}
+
 bool Connection::isClosedByPeer() const
 {
     char byte = 0;
@@ -216,16 +236,21 @@
     m_acceptThread = std::thread([this] { accept(); });
 }
 
-Listener::~Listener()
+void Listener::stop()
 {
     m_stopping = true;
     shutdown(m_socket.fd(), SHUT_RDWR);
+    const std::lock_guard lock(m_mutex);
+    for (const int fd : m_open)
+        shutdown(fd, SHUT_RDWR);
+}
+
+Listener::~Listener()
+{
+    stop();
     m_acceptThread.join();
-    {
-        const std::lock_guard lock(m_mutex);
-        for (const int fd : m_open)
-            shutdown(fd, SHUT_RDWR);
-    }
+    // A connection may have been accepted meanwhile.
+    stop();
     for (std::thread &thread : m_threads)
         thread.join();
 }
--- a/review/standins-2/wire.h
+++ b/review/standins-2/wire.h
@@ -85,6 +85,11 @@
     std::optional<Message> read(Clock::time_point until);
     /// Reads the next message's head only; what follows stays unread.
     std::optional<Message> readHead(Clock::time_point until);
+    /// Reads the body of a message whose head was read, with a length or in chunks; returns whether
+    /// it is whole.
+    bool readBody(const Message &head, std::string &body, Clock::time_point until);
+    /// Reads all that comes until the connection ends; returns whether its end was orderly.
+    bool readToEnd(std::string &bytes, Clock::time_point until);
     /// Returns whether the other side has closed the connection.
     bool isClosedByPeer() const;
 
@@ -110,7 +115,8 @@
     Listener &operator=(const Listener &) = delete;
 
     int port() const { return m_port; }
-    bool isStopping() const { return m_stopping; }
+    /// Closes all connections, and accepts no further ones.
+    void stop();
 
 private:
     void accept();
