--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,7 +7,7 @@
 out=target/review-2
 mkdir -p "$out"
 common="$source/wire.cpp $source/store.cpp $source/deployment.cpp $source/runner.cpp"
-for driver in expectstop largebodies statuscut; do
+for driver in expectstop largebodies statuscut crashtold; do
     # shellcheck disable=SC2086
     "${CXX:-g++}" -std=c++20 -O2 -Wall -Wextra -o "$out/$driver" $common "$source/$driver.cpp" -pthread &
 done
--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -188,13 +188,13 @@
 }
 
 nlohmann::json makeRunnerEntry(const std::string &service, int port, const std::string &zone,
-                               int slots, int seq)
+                               int slots, int seq, std::int64_t born)
 {
-    return { { "Service", service },   { "Address", "127.0.0.1:" + std::to_string(port) },
-             { "Zone", zone },         { "Version", "v1" },
-             { "Slots", slots },       { "State", "ready" },
-             { "ColdLeftMs", 0 },      { "Seq", seq },
-             { "born", 1760000000000 } };
+    return { { "Service", service }, { "Address", "127.0.0.1:" + std::to_string(port) },
+             { "Zone", zone },       { "Version", "v1" },
+             { "Slots", slots },     { "State", "ready" },
+             { "ColdLeftMs", 0 },    { "Seq", seq },
+             { "born", born } };
 }
 
 bool isTroubleOn()
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -92,7 +92,7 @@
 nlohmann::json makeConfiguration(int version, const std::vector<Route> &routes);
 /// Returns the spec of a runner's entry.
 nlohmann::json makeRunnerEntry(const std::string &service, int port, const std::string &zone,
-                               int slots, int seq);
+                               int slots, int seq, std::int64_t born = 1760000000000);
 /// Returns whether the script plays the disruption: unless TROUBLE is 0.
 bool isTroubleOn();
 /// Returns the fields of a consumer's request.
--- a/review/standins-2/runner.cpp
+++ b/review/standins-2/runner.cpp
@@ -24,6 +24,7 @@
     : m_options(std::move(options))
     , m_record(record)
     , m_listener(std::make_unique<Listener>([this](Connection &connection) { serve(connection); }))
+    , m_port(m_listener->port())
 {}
 
 Runner::~Runner()
@@ -36,6 +37,26 @@
     m_listener.reset();
 }
 
+void Runner::crash()
+{
+    m_listener->stop();
+    m_crashed = true;
+}
+
+void Runner::restart()
+{
+    m_listener.reset();
+    m_listener
+        = std::make_unique<Listener>([this](Connection &connection) { serve(connection); }, m_port);
+    m_crashed = false;
+}
+
+std::vector<Clock::time_point> Runner::crashes()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_crashes;
+}
+
 std::map<std::string, int> Runner::runs()
 {
     const std::lock_guard lock(m_mutex);
@@ -125,6 +146,15 @@
         return connection.write(
             formatMessage("HTTP/1.1 421 Misdirected Request",
                           { { "X-Instance-Id", m_options.id }, { "X-Attempt-Id", id } }, ""));
+    if (!m_options.crashingBody.empty() && request.body == m_options.crashingBody) {
+        m_record.write(m_options.id + " crashes as it begins to run " + id);
+        {
+            const std::lock_guard lock(m_mutex);
+            m_crashes.push_back(Clock::now());
+        }
+        crash();
+        return false;
+    }
     if (!takeSlot(id)) {
         m_record.write(m_options.id + " rejects " + id + " with 503 as not run");
         return connection.write(formatMessage("HTTP/1.1 503 Service Unavailable",
--- a/review/standins-2/runner.h
+++ b/review/standins-2/runner.h
@@ -26,6 +26,8 @@
     std::string status = "200 OK";
     /// Pieces of `pieceBytes` that follow the text of a plain answer, each after the same time.
     int pieces = 0;
+    /// A request with this body crashes the runner as it begins to run; empty for none.
+    std::string crashingBody = {};
 };
 
 /// A sound stand-in of a runner.
@@ -37,13 +39,18 @@
     Runner(const Runner &) = delete;
     Runner &operator=(const Runner &) = delete;
 
-    int port() const { return m_listener->port(); }
+    int port() const { return m_port; }
     const RunnerOptions &options() const { return m_options; }
     /// Returns how often each request began to run here, by its id.
     std::map<std::string, int> runs();
 
     /// Ends the runner as a crash does: it doesn't listen any more, and its channels are closed.
-    void crash() { m_listener->stop(); }
+    void crash();
+    bool hasCrashed() const { return m_crashed; }
+    /// Starts the runner again at the same address.
+    void restart();
+    /// Returns when requests with the crashing body arrived.
+    std::vector<Clock::time_point> crashes();
 
     /// Returns the whole body of the answer to a request.
     std::string wholeBody(const std::string &request) const;
@@ -69,7 +76,10 @@
     int m_running = 0;
     int m_waiting = 0;
     std::map<std::string, int> m_runs;
+    std::vector<Clock::time_point> m_crashes;
+    std::atomic<bool> m_crashed = false;
     std::unique_ptr<Listener> m_listener;
+    int m_port = 0;
 };
 
 } // namespace review
--- a/review/standins-2/wire.cpp
+++ b/review/standins-2/wire.cpp
@@ -220,14 +220,14 @@
     return recv(fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-Listener::Listener(Handler handler)
+Listener::Listener(Handler handler, int port)
     : m_handler(std::move(handler))
     , m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
     constexpr int backlog = 1024;
     const int on = 1;
     setsockopt(m_socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    sockaddr_in address = loopback(0);
+    sockaddr_in address = loopback(port);
     socklen_t length = sizeof address;
     (void) bind(m_socket.fd(), reinterpret_cast<sockaddr *>(&address), length);
     listen(m_socket.fd(), backlog);
--- a/review/standins-2/wire.h
+++ b/review/standins-2/wire.h
@@ -102,13 +102,14 @@
     std::string m_buffer;
 };
 
-/// Accepts connections on a free port of 127.0.0.1, each with a thread of its own.
+/// Accepts connections on a port of 127.0.0.1, each with a thread of its own.
 class Listener
 {
 public:
     using Handler = std::function<void(Connection &)>;
 
-    explicit Listener(Handler handler);
+    /// Listens on a free port if `port` is 0.
+    explicit Listener(Handler handler, int port = 0);
     /// Closes all connections and waits for their threads.
     ~Listener();
     Listener(const Listener &) = delete;
