--- a/review/standins-2/deployment.cpp
+++ b/review/standins-2/deployment.cpp
@@ -70,8 +70,7 @@
 TemporaryFolder::~TemporaryFolder()
 {
     std::error_code ignored;
-    if (std::getenv("KEEP") == nullptr)
-        std::filesystem::remove_all(m_path, ignored);
+    std::filesystem::remove_all(m_path, ignored);
 }
 
 Record::Record(const std::string &file)
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -12,7 +12,7 @@
 
 namespace review {
 
-/// A file that is removed with its folder at the end.
+/// A temporary folder, which the destructor removes with its files.
 class TemporaryFolder
 {
 public:
