Fix: a status line that the grammar doesn't allow is no answer

Callers saw: an upstream's answer with the status line "HTTP/1.1 0200 OK", "HTTP/1.1 200 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200" without its blank, with an empty line before it, a control byte in its reason or a bare LF at its end came through as a 200, in one piece and byte by byte; on unsafe, safe and stream routes alike. A status of 000 was refused before already, as was any below 100 or above 599.

Cause: http_parser, as Debian builds it (HTTP_PARSER_STRICT=0), reads more than HTTP/1.1's grammar; it also skips bytes that it expects to be the LF of a line.

Change: AnswerParser reads by Boost.Beast's parser, which takes what the grammar allows and nothing else; Boost is a dependency already. What is incomplete (a head, a chunk's size, trailers) is kept until the rest comes, bounded like heads were. The log says why an answer is malformed. Why this works: the head is handed on only after all its lines were read by the grammar.

--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -2,170 +2,189 @@
 
 #include <cctype>
 #include <cstdint>
-#include <limits>
 #include <utility>
 
+#include <boost/beast/http/basic_parser.hpp>
+
 namespace acaciasail::http {
 
 namespace {
 
+namespace beast = boost::beast;
+using beast::http::error;
+
 // Bytes of an answer's head, with the interim answers before it, above which it is taken as
-// malformed.
-constexpr std::size_t maxHeadBytes = 64U << 10U;
-// Bytes of a header besides its name and value.
-constexpr std::size_t headerSeparatorBytes = 4;
-constexpr unsigned int firstStatus = 100;
-constexpr unsigned int switchingProtocols = 101;
-constexpr unsigned int firstFinalStatus = 200;
-constexpr unsigned int lastStatus = 599;
-// http_parser's return values of the headers callback.
-constexpr int headersOk = 0;
-constexpr int headersNoBody = 1;
-constexpr int headersFailed = -1;
-// Return value of the other callbacks that ends the parsing.
-constexpr int callbackFailed = 1;
+// malformed; also of one chunk's size line, and of the trailers.
+constexpr std::uint32_t maxHeadBytes = 64U << 10U;
+constexpr int firstStatus = 100;
+constexpr int switchingProtocols = 101;
+constexpr int firstFinalStatus = 200;
+constexpr int lastStatus = 599;
+
+std::string toLower(beast::string_view text)
+{
+    std::string result;
+    result.reserve(text.size());
+    for (const char byte : text)
+        result += static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
+    return result;
+}
 
 } // namespace
 
-AnswerParser::AnswerParser(bool answersHead, Handlers handlers)
-    : m_handlers(std::move(handlers))
-    , m_answersHead(answersHead)
+/// One answer, interim or final, as the library reads it.
+class AnswerParser::Message : public beast::http::basic_parser<false>
 {
-    http_parser_init(&m_parser, HTTP_RESPONSE);
-    m_parser.data = this;
-}
+public:
+    explicit Message(AnswerParser &owner)
+        : m_owner(owner)
+    {
+        eager(true);
+        header_limit(maxHeadBytes);
+        body_limit(boost::none);
+        skip(owner.m_answersHead);
+    }
 
-const http_parser_settings &AnswerParser::callbacks()
-{
-    static const http_parser_settings settings = [] {
-        http_parser_settings result;
-        http_parser_settings_init(&result);
-        result.on_header_field = &AnswerParser::onField;
-        result.on_header_value = &AnswerParser::onValue;
-        result.on_headers_complete = &AnswerParser::onHeadersComplete;
-        result.on_body = &AnswerParser::onBody;
-        result.on_message_complete = &AnswerParser::onMessageComplete;
-        return result;
-    }();
-    return settings;
-}
+    bool interim() const { return m_head.status < firstFinalStatus; }
 
-int AnswerParser::onField(http_parser *parser, const char *at, std::size_t length)
-{
-    AnswerParser *self = of(parser);
-    if (self->m_headComplete)
-        return self->countHeadBytes(length);
-    if (self->m_readingValue || self->m_head.headers.empty()) {
-        self->m_head.headers.emplace_back();
-        self->m_headBytes += headerSeparatorBytes;
+private:
+    void on_request_impl(beast::http::verb, beast::string_view, beast::string_view, int,
+                         beast::error_code &) override
+    {}
+
+    void on_response_impl(int status, beast::string_view, int, beast::error_code &code) override
+    {
+        m_head.status = status;
+        // No request asks for a change of protocol.
+        if (status < firstStatus || status > lastStatus || status == switchingProtocols)
+            code = error::bad_status;
     }
-    self->m_readingValue = false;
-    std::string &name = self->m_head.headers.back().name;
-    for (std::size_t i = 0; i < length; ++i)
-        name += static_cast<char>(std::tolower(static_cast<unsigned char>(at[i])));
-    return self->countHeadBytes(length);
-}
 
-int AnswerParser::onValue(http_parser *parser, const char *at, std::size_t length)
-{
-    AnswerParser *self = of(parser);
-    if (self->m_headComplete)
-        return self->countHeadBytes(length);
-    self->m_readingValue = true;
-    if (self->m_head.headers.empty())
-        return callbackFailed;
-    self->m_head.headers.back().value.append(at, length);
-    return self->countHeadBytes(length);
-}
+    void on_field_impl(beast::http::field, beast::string_view name, beast::string_view value,
+                       beast::error_code &) override
+    {
+        // Trailers are not kept.
+        if (!is_header_done())
+            m_head.headers.push_back({ toLower(name), std::string(value) });
+    }
 
-// Counts bytes of a head, or of the trailers that follow a body and are not kept. Returns the
-// result of a parser's callback.
-int AnswerParser::countHeadBytes(std::size_t count)
-{
-    m_headBytes += count;
-    return m_headBytes > maxHeadBytes ? callbackFailed : 0;
-}
+    void on_header_impl(beast::error_code &code) override
+    {
+        if (!isFramingValid()) {
+            code = error::bad_field;
+            return;
+        }
+        if (interim())
+            return;
+        if (const auto length = content_length())
+            m_head.contentLength = *length;
+        m_head.endsWithConnection = !content_length() && !chunked();
+        m_owner.m_keepAlive = keep_alive();
+        m_owner.m_headComplete = true;
+        if (m_owner.m_handlers.onHead)
+            m_owner.m_handlers.onHead(m_head);
+        m_head.headers = {};
+    }
 
-bool AnswerParser::interim() const
-{
-    return m_parser.status_code < firstFinalStatus;
-}
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, beast::error_code &) override {}
 
-// An interim response has no body, so one that states a body could be read in two ways, and so
-// could a response that is framed twice. No request asks for a change of protocol.
-bool AnswerParser::isHeadValid() const
-{
-    const unsigned int status = m_parser.status_code;
-    if (status < firstStatus || status > lastStatus || status == switchingProtocols)
-        return false;
-    if (countHeaders(m_head.headers, "content-length") > 1)
-        return false;
-    const bool hasLength = (m_parser.flags & F_CONTENTLENGTH) != 0 && m_parser.content_length > 0;
-    const bool statesBody = hasLength || (m_parser.flags & F_CHUNKED) != 0;
-    return !(interim() && statesBody);
-}
+    std::size_t on_body_impl(beast::string_view piece, beast::error_code &) override
+    {
+        if (m_owner.m_handlers.onBody)
+            m_owner.m_handlers.onBody({ piece.data(), piece.size() });
+        return piece.size();
+    }
+
+    void on_chunk_header_impl(std::uint64_t, beast::string_view, beast::error_code &) override {}
+
+    std::size_t on_chunk_body_impl(std::uint64_t, beast::string_view piece,
+                                   beast::error_code &code) override
+    {
+        return on_body_impl(piece, code);
+    }
+
+    void on_finish_impl(beast::error_code &) override {}
+
+    // An interim response has no body, so one that states a body could be read in two ways, and so
+    // could a response that is framed twice.
+    bool isFramingValid() const
+    {
+        if (countHeaders(m_head.headers, "content-length") > 1)
+            return false;
+        const bool statesBody = content_length().value_or(0) > 0 || chunked();
+        return !(interim() && statesBody);
+    }
 
-int AnswerParser::onHeadersComplete(http_parser *parser)
+    AnswerParser &m_owner;
+    ClientHead m_head;
+};
+
+AnswerParser::AnswerParser(bool answersHead, Handlers handlers)
+    : m_handlers(std::move(handlers))
+    , m_answersHead(answersHead)
 {
-    AnswerParser *self = of(parser);
-    if (!self->isHeadValid())
-        return headersFailed;
-    if (self->interim())
-        return headersOk;
-    self->m_headComplete = true;
-    self->m_head.status = static_cast<int>(parser->status_code);
-    if ((parser->flags & F_CONTENTLENGTH) != 0)
-        self->m_head.contentLength = parser->content_length;
-    self->m_head.endsWithConnection = (parser->flags & (F_CONTENTLENGTH | F_CHUNKED)) == 0;
-    self->m_keepAlive = http_should_keep_alive(parser) != 0;
-    if (self->m_handlers.onHead)
-        self->m_handlers.onHead(self->m_head);
-    self->m_head = {};
-    return self->m_answersHead ? headersNoBody : headersOk;
+    startMessage();
 }
 
-int AnswerParser::onBody(http_parser *parser, const char *at, std::size_t length)
+AnswerParser::~AnswerParser() = default;
+
+void AnswerParser::startMessage()
 {
-    AnswerParser *self = of(parser);
-    if (self->m_handlers.onBody)
-        self->m_handlers.onBody({ at, length });
-    return 0;
+    m_message = std::make_unique<Message>(*this);
 }
 
-int AnswerParser::onMessageComplete(http_parser *parser)
+AnswerParser::State AnswerParser::fail(std::string fault)
 {
-    AnswerParser *self = of(parser);
-    if (self->interim()) {
-        self->m_head = {};
-        return 0;
-    }
-    self->m_complete = true;
-    // What follows is not part of this answer, so it is left unread.
-    http_parser_pause(parser, 1);
-    return 0;
+    m_fault = std::move(fault);
+    return State::Malformed;
 }
 
-AnswerParser::State AnswerParser::run(const char *bytes, std::size_t length)
+// Reads on until the answer is complete or the rest of the bytes is too short to be read.
+AnswerParser::State AnswerParser::read(std::string_view bytes, std::size_t &taken)
 {
-    m_consumed = http_parser_execute(&m_parser, &callbacks(), bytes, length);
-    if (m_complete)
-        return State::Complete;
-    if (!m_headComplete)
-        m_bytesBeforeHead += length;
-    const bool failed = HTTP_PARSER_ERRNO(&m_parser) != HPE_OK || m_parser.upgrade != 0
-                        || m_bytesBeforeHead > maxHeadBytes;
-    return failed ? State::Malformed : State::Reading;
+    while (taken < bytes.size()) {
+        beast::error_code code;
+        taken += m_message->put({ bytes.data() + taken, bytes.size() - taken }, code);
+        if (code == error::need_more)
+            break;
+        if (code)
+            return fail(code.message());
+        if (!m_message->is_done())
+            continue;
+        if (!m_message->interim())
+            return State::Complete;
+        startMessage();
+    }
+    return State::Reading;
 }
 
 AnswerParser::State AnswerParser::feed(std::string_view bytes)
 {
-    return run(bytes.data(), bytes.size());
+    const std::size_t earlier = m_unread.size();
+    std::string joined = std::exchange(m_unread, {});
+    if (earlier > 0)
+        joined.append(bytes);
+    const std::string_view input = earlier > 0 ? std::string_view(joined) : bytes;
+    std::size_t taken = 0;
+    const State state = read(input, taken);
+    m_consumed = state == State::Complete ? taken - earlier : bytes.size();
+    if (state != State::Reading)
+        return state;
+    m_unread = input.substr(taken);
+    if (!m_headComplete)
+        m_bytesBeforeHead += bytes.size();
+    if (m_bytesBeforeHead > maxHeadBytes || m_unread.size() > maxHeadBytes)
+        return fail("head too long");
+    return State::Reading;
 }
 
 AnswerParser::State AnswerParser::endOfInput()
 {
-    const State state = run(nullptr, 0);
-    return state == State::Complete ? State::Complete : State::Malformed;
+    if (!m_headComplete)
+        return fail("no head");
+    beast::error_code code;
+    m_message->put_eof(code);
+    return code ? fail(code.message()) : State::Complete;
 }
 
 } // namespace acaciasail::http
--- a/src/framework/http/internal/answerparser.h
+++ b/src/framework/http/internal/answerparser.h
@@ -2,16 +2,16 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
-#include <http_parser.h>
-
 #include "http/internal/client.h"
 
 namespace acaciasail::http {
 
-/// Reads one answer from a connection's bytes, by the http_parser library.
+/// Reads one answer from a connection's bytes, by the strict parser of the Boost.Beast library:
+/// what the grammar of HTTP/1.1 (RFC 9112) doesn't allow is malformed.
 ///
 /// Interim answers (1xx) are skipped; one that states a body is malformed. Bytes after the answer's
 /// end are counted, not read.
@@ -28,11 +28,12 @@
         /// More bytes are needed.
         Reading,
         Complete,
-        /// The bytes are no HTTP answer.
+        /// The bytes are no HTTP answer; fault() tells why.
         Malformed,
     };
 
     AnswerParser(bool answersHead, Handlers handlers);
+    ~AnswerParser();
     AnswerParser(const AnswerParser &) = delete;
     AnswerParser &operator=(const AnswerParser &) = delete;
 
@@ -41,38 +42,31 @@
     /// The connection ended in good order; an answer without a length is complete then.
     State endOfInput();
 
+    /// Bytes of the last piece that belong to this answer, or to what precedes its fault.
     std::size_t consumed() const { return m_consumed; }
     /// Whether the connection may carry another request after this answer.
     bool keepAlive() const { return m_keepAlive; }
+    /// Why the answer is malformed; empty if it isn't.
+    const std::string &fault() const { return m_fault; }
 
 private:
-    static AnswerParser *of(http_parser *parser)
-    {
-        return static_cast<AnswerParser *>(parser->data);
-    }
-    static int onField(http_parser *parser, const char *at, std::size_t length);
-    static int onValue(http_parser *parser, const char *at, std::size_t length);
-    static int onHeadersComplete(http_parser *parser);
-    static int onBody(http_parser *parser, const char *at, std::size_t length);
-    static int onMessageComplete(http_parser *parser);
-    static const http_parser_settings &callbacks();
+    class Message;
 
-    State run(const char *bytes, std::size_t length);
-    bool interim() const;
-    bool isHeadValid() const;
-    int countHeadBytes(std::size_t count);
+    State read(std::string_view bytes, std::size_t &taken);
+    State fail(std::string fault);
+    void startMessage();
 
-    http_parser m_parser{};
     Handlers m_handlers;
-    ClientHead m_head;
-    std::size_t m_headBytes = 0;
+    bool m_answersHead;
+    // The interim answer or the final one that is being read.
+    std::unique_ptr<Message> m_message;
+    // Begin of a head, of a chunk's size or of trailers whose end has not come yet.
+    std::string m_unread;
     // Bytes fed without completing the final head, including interim answers.
     std::size_t m_bytesBeforeHead = 0;
     std::size_t m_consumed = 0;
-    bool m_answersHead;
-    bool m_readingValue = false;
+    std::string m_fault;
     bool m_headComplete = false;
-    bool m_complete = false;
     bool m_keepAlive = false;
 };
 
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -226,7 +226,8 @@
     void finish(AnswerParser::State state, bool connectionSpent)
     {
         if (state == AnswerParser::State::Malformed) {
-            end(kernel::Error{ kernel::ResultCode::UpstreamProtocol, "the answer is malformed" });
+            end(kernel::Error{ kernel::ResultCode::UpstreamProtocol,
+                               "the answer is malformed: " + m_parser.fault() });
             return;
         }
         m_complete = true;
--- a/src/framework/http/tests/rawserver.cpp
+++ b/src/framework/http/tests/rawserver.cpp
@@ -18,11 +18,15 @@
 
 } // namespace
 
-RawServer::RawServer(EventLoop &loop)
+RawServer::RawServer(EventLoop &loop, int receiveBufferBytes)
     : m_loop(loop)
 {
     const auto fd = kernel::capture([] { return openListener({ "127.0.0.1", 0 }); });
     m_listener = fd.value();
+    // Accepted connections inherit it.
+    if (receiveBufferBytes > 0)
+        setsockopt(m_listener, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes,
+                   sizeof receiveBufferBytes);
     SocketAddress bound;
     bound.length = sizeof bound.storage;
     getsockname(m_listener, bound.get(), &bound.length);
@@ -63,6 +67,17 @@
     return static_cast<std::size_t>(std::max<ssize_t>(sent, 0));
 }
 
+void RawServer::readSome()
+{
+    std::array<char, 64U << 10U> buffer{};
+    (void) recv(m_connection, buffer.data(), buffer.size(), MSG_DONTWAIT);
+}
+
+void RawServer::finishSending()
+{
+    shutdown(m_connection, SHUT_WR);
+}
+
 void RawServer::close()
 {
     if (m_connection >= 0)
--- a/src/framework/http/tests/rawserver.h
+++ b/src/framework/http/tests/rawserver.h
@@ -11,7 +11,8 @@
 class RawServer
 {
 public:
-    explicit RawServer(EventLoop &loop);
+    /// The system holds about that many received bytes for a connection; its own limit for 0.
+    explicit RawServer(EventLoop &loop, int receiveBufferBytes = 0);
     ~RawServer();
     RawServer(const RawServer &) = delete;
     RawServer &operator=(const RawServer &) = delete;
@@ -22,8 +23,12 @@
     std::string awaitRequest();
     /// Writes to the newest connection; returns how many of the bytes the system took.
     std::size_t send(std::string_view bytes);
-    /// Ends the newest connection in good order.
+    /// Takes in what has arrived on the newest connection, at most 64 KiB of it.
+    void readSome();
+    /// Ends the newest connection; in good order unless the system holds bytes of the request.
     void close();
+    /// Ends the own direction of the newest connection in good order; the other stays open.
+    void finishSending();
     /// Resets the newest connection.
     void reset();
     /// Runs the loop until the newest connection has ended, or five seconds passed; returns whether
