Fix: a line of an answer's head that is no field makes it no answer

Callers saw: an answer in whose head the name of a field held a blank came through as a 200, with that line passed on ("X Any: v"), or framed by it ("Content-Length : 2", "Transfer-Encoding : chunked"); a line that starts with a blank went on with the field before it, so that " Content-Length: 2" or " Transfer-Encoding: chunked" was lost and the body was whatever came until the connection's end. A bare LF ended a line early. Control bytes within a name were refused before already.

Change: the tests; such a folded line is a fault. Why this works: each line of a head is now status, field or the empty line at its end, and has one reading.

--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -30,6 +30,18 @@
     return result;
 }
 
+// Whether a line in the rest of a head, which begins these bytes, starts with a blank. Such a line
+// once went on with the one before it (RFC 9112, 5.2); it can also be read as a field of its own.
+bool hasFoldedLine(std::string_view bytes)
+{
+    // Only the empty line at the head's end is left.
+    if (bytes.starts_with("\r\n"))
+        return false;
+    const std::string_view head = bytes.substr(0, bytes.find("\r\n\r\n"));
+    return head.find("\r\n ") != std::string_view::npos
+           || head.find("\r\n\t") != std::string_view::npos;
+}
+
 } // namespace
 
 /// One answer, interim or final, as the library reads it.
@@ -143,6 +155,8 @@
 AnswerParser::State AnswerParser::read(std::string_view bytes, std::size_t &taken)
 {
     while (taken < bytes.size()) {
+        if (!m_headComplete && hasFoldedLine(bytes.substr(taken)))
+            return fail("folded line");
         beast::error_code code;
         taken += m_message->put({ bytes.data() + taken, bytes.size() - taken }, code);
         if (code == error::need_more)
--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -1,4 +1,9 @@
+#include <algorithm>
+#include <cctype>
 #include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -156,3 +161,118 @@
     RC_ASSERT(result.body == "hello");
     RC_ASSERT(result.left == 0U);
 }
+
+namespace {
+
+bool isTokenByte(int byte)
+{
+    return byte > 0
+           && (std::isalnum(byte) != 0
+               || std::string_view("!#$%&'*+-.^_`|~").find(static_cast<char>(byte))
+                      != std::string_view::npos);
+}
+
+std::vector<std::string> bytesOf(const std::string &text)
+{
+    std::vector<std::string> pieces;
+    for (const char byte : text)
+        pieces.emplace_back(1, byte);
+    return pieces;
+}
+
+// In one piece and byte by byte, the answer is malformed and nothing of it is passed on.
+void expectMalformed(const std::string &text)
+{
+    for (const auto &pieces : { std::vector<std::string>{ text }, bytesOf(text) }) {
+        const Parsed result = parse(pieces, true);
+        EXPECT_EQ(result.state, AnswerParser::State::Malformed) << testing::PrintToString(text);
+        EXPECT_EQ(result.status, 0) << testing::PrintToString(text);
+        EXPECT_EQ(result.body, "") << testing::PrintToString(text);
+    }
+}
+
+void expectBody(const std::string &text, const std::string &body)
+{
+    for (const auto &pieces : { std::vector<std::string>{ text }, bytesOf(text) }) {
+        const Parsed result = parse(pieces, true);
+        EXPECT_EQ(result.state, AnswerParser::State::Complete) << testing::PrintToString(text);
+        EXPECT_EQ(result.body, body) << testing::PrintToString(text);
+    }
+}
+
+} // namespace
+
+// Guards against a line that is passed on, or that frames the answer, although it is no field.
+TEST(AnswerParserTest, RefusesEachByteThatNoFieldNameHolds)
+{
+    const std::vector<std::pair<std::string, std::string>> fields{
+        { "X-Any", "v" },
+        { "Content-Length", "2" },
+        { "Transfer-Encoding", "chunked" },
+        { "Connection", "close" },
+    };
+    for (int byte = 0; byte < 256; ++byte) {
+        if (isTokenByte(byte))
+            continue;
+        for (const auto &[name, value] : fields) {
+            for (const std::size_t at : { std::size_t(0), name.size() / 2, name.size() }) {
+                // A colon ends the name, and what follows is the value.
+                if (byte == ':' && at > 0)
+                    continue;
+                std::string line = name;
+                line.insert(at, 1, static_cast<char>(byte));
+                line.append(": ").append(value).append("\r\n");
+                const std::string body = value == "chunked" ? "2\r\nok\r\n0\r\n\r\n" : "ok";
+                expectMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + body);
+                expectMalformed("HTTP/1.1 200 OK\r\nX-One: a\r\n" + line + "\r\n" + body);
+                expectMalformed("HTTP/1.1 103 Early\r\n" + line + "\r\n" + sized);
+            }
+        }
+    }
+}
+
+TEST(AnswerParserTest, ReadsEachByteThatFieldNamesHold)
+{
+    for (int byte = 0; byte < 256; ++byte) {
+        if (!isTokenByte(byte))
+            continue;
+        const std::string name(3, static_cast<char>(byte));
+        const Parsed result
+            = parse({ "HTTP/1.1 200 OK\r\n" + name + ": v\r\ncontent-length: 0\r\n\r\n" });
+        EXPECT_EQ(result.state, AnswerParser::State::Complete) << byte;
+        std::string lower = name;
+        std::ranges::transform(name, lower.begin(),
+                               [](unsigned char c) { return std::tolower(c); });
+        EXPECT_EQ(findHeader(result.headers, lower), "v") << byte;
+    }
+}
+
+TEST(AnswerParserTest, RefusesLinesThatAreNoFields)
+{
+    for (const char *lines :
+         { "X-Any\r\n", ": v\r\n", "\r\r\n", "X-Any: a\nX-More: b\r\n", "X-Any: a\rX-More: b\r\n",
+           "X-Any: a\x01z\r\n", "X-Any: a\x7fz\r\n", "X-Any: a\r\n b\r\n", "X-Any: a\r\n\tb\r\n",
+           "X-Any:\r\n b\r\n", "X-Any: a\r\n \r\n", "X-Any: a\n", "X-Any: a\r",
+           "Connection: close, {x}\r\n" })
+        expectMalformed("HTTP/1.1 200 OK\r\n" + std::string(lines) + "Content-Length: 2\r\n\r\nok");
+    expectMalformed(std::string("HTTP/1.1 200 OK\r\nX-Any: a\0z\r\n", 29)
+                    + "Content-Length: 2\r\n\r\nok");
+    expectMalformed("HTTP/1.1 200 OK\nContent-Length: 2\n\nok");
+    expectMalformed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nok");
+    expectMalformed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\rxok");
+}
+
+// A body's blanks after an empty line are no part of the head, however the bytes are cut.
+TEST(AnswerParserTest, ReadsBodyThatLooksLikeFoldedLine)
+{
+    const std::string body = " a\r\n b\r\n\tc";
+    const std::string text = "HTTP/1.1 103 Early\r\nx: y\r\n\r\nHTTP/1.1 200 OK\r\nX-One: a\r\n"
+                             "content-length: "
+                             + std::to_string(body.size()) + "\r\n\r\n" + body;
+    for (std::size_t cut = 1; cut < text.size(); ++cut) {
+        const Parsed result = parse({ text.substr(0, cut), text.substr(cut) });
+        EXPECT_EQ(result.state, AnswerParser::State::Complete) << cut;
+        EXPECT_EQ(result.body, body) << cut;
+    }
+    expectBody(text, body);
+}
--- a/src/framework/http/tests/brokenanswers_tests.cpp
+++ b/src/framework/http/tests/brokenanswers_tests.cpp
@@ -125,3 +125,27 @@
     expectAnswer("HTTP/1.1 599 x\r\n" + fieldsAndBody, 599);
     expectAnswer("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 OK\r\n" + fieldsAndBody, 201);
 }
+
+TEST_F(BrokenAnswers, LineThatIsNoFieldIsNoAnswer)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\nx-one: a\r\n";
+    for (const std::string name :
+         { "x-any", "content-length", "transfer-encoding", "connection" }) {
+        for (const char byte : { ' ', '\t', '\r', '\n', '\x01', '\x7f', '\0', '(', '\xe9' }) {
+            for (const std::size_t at : { std::size_t(0), name.size() / 2, name.size() }) {
+                std::string line = name;
+                line.insert(at, 1, byte);
+                expectNoAnswer(status + line + ": 2\r\n" + fieldsAndBody);
+            }
+        }
+    }
+}
+
+TEST_F(BrokenAnswers, SoundFieldsComeThrough)
+{
+    const std::string status = "HTTP/1.1 200 OK\r\n";
+    for (const char *lines :
+         { "", "X_y.z~1!#$%&'*+-^`|: v\r\n", "x-empty:\r\n", "x-blanks: \t a b \t\r\n",
+           "x-high: \xe9\xff\r\n", "connection: close, x-one\r\n" })
+        expectAnswer(status + lines + fieldsAndBody, 200);
+}
