Fix: a part of an answer is no whole one because a write has failed first

Callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written. Callers got that part as a whole answer: plain ones with an empty, a short and a long part, and streams as ended after their first event. Besides, a whole answer with a length or chunks was lost (502 or a cut) if the connection broke while its reading was paused.

Cause: a write that fails takes the error of the connection from the system (SO_ERROR is told once), and every read after it reports an orderly end. The loop writes before it reads, so while an upload is under way ExchangeState saw "closed" and took an answer without a length as complete. A failed write ended the exchange without reading what had arrived.

Change: a failed write is only noted, and what has arrived is still read. An orderly end counts only if no write has failed; if one is under way and both directions are closed, its result is awaited. A half-closed connection (the upstream has ended its direction, ours is open) ends an answer as before, without waiting for the upload. Why this works: a reset closes both directions, and either the write or the read is told of it.

What stays undecided: an orderly end and a reset that come in one turn of the loop, with a write that fails; the answer counts as cut.

The raw server of the tests keeps connections without a request apart from the one it answers, as the router probes an upstream after a loss.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -176,8 +176,9 @@
             self->endLinger(error == nullptr);
             return;
         }
+        // What has arrived is still read; it may be a whole answer.
         if (error != nullptr)
-            self->end(kernel::Error{ kernel::ResultCode::UpstreamBroken, error });
+            self->m_writeFailed = true;
     }
 
     static void onRead(h2o_socket_t *socket, const char *error)
@@ -204,10 +205,24 @@
                 return;
             }
         }
-        if (error == nullptr)
+        if (error != nullptr)
+            onInputEnd(error);
+    }
+
+    // Only an orderly end completes an answer without a length; a reset cuts it. A write that fails
+    // takes the connection's error, and the reads after it report an orderly end.
+    void onInputEnd(const char *error)
+    {
+        const bool reportedOrderly = error == h2o_socket_error_closed;
+        // The result of the write comes first, and this end is reported once more.
+        if (reportedOrderly && m_writing && isClosedBothWays(h2o_socket_get_fd(m_socket.get())))
+            return;
+        if (reportedOrderly && m_writeFailed) {
+            end(kernel::Error{ kernel::ResultCode::UpstreamBroken,
+                               "the connection broke while the request was being sent" });
             return;
-        // Only an orderly close ends an answer without a length; a reset cuts it.
-        if (error == h2o_socket_error_closed && m_headSeen) {
+        }
+        if (reportedOrderly && m_headSeen) {
             m_inCallback = true;
             const AnswerParser::State state = m_parser.endOfInput();
             m_inCallback = false;
@@ -377,6 +392,7 @@
     kernel::Instant m_lastActivity{};
     bool m_sent = false;
     bool m_writing = false;
+    bool m_writeFailed = false;
     bool m_paused = false;
     bool m_headSeen = false;
     bool m_inCallback = false;
--- a/src/framework/http/internal/socketoptions.cpp
+++ b/src/framework/http/internal/socketoptions.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace acaciasail::http {
@@ -62,6 +63,12 @@
     return info.tcpi_retransmits >= unansweredRepeats || info.tcpi_probes >= unansweredProbes;
 }
 
+bool isClosedBothWays(int fd)
+{
+    pollfd connection{ fd, 0, 0 };
+    return poll(&connection, 1, 0) > 0 && (connection.revents & POLLHUP) != 0;
+}
+
 void limitCallerBuffers(int fd)
 {
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &callerReceiveBytes, sizeof callerReceiveBytes);
--- a/src/framework/http/internal/socketoptions.h
+++ b/src/framework/http/internal/socketoptions.h
@@ -15,6 +15,10 @@
 /// several retransmissions or zero-window probes were sent.
 bool isPeerGone(int fd);
 
+/// Whether both directions of a connection are closed, as after a reset. After the peer's orderly
+/// end alone the own direction is open.
+bool isClosedBothWays(int fd);
+
 /// Bounds what the system holds for a caller's connection in both directions.
 void limitCallerBuffers(int fd);
 
--- a/src/framework/http/tests/rawserver.cpp
+++ b/src/framework/http/tests/rawserver.cpp
@@ -36,29 +36,46 @@
 RawServer::~RawServer()
 {
     close();
+    for (const Waiting &connection : m_waiting)
+        ::close(connection.fd);
     ::close(m_listener);
 }
 
+bool RawServer::receive(Waiting &connection)
+{
+    std::array<char, 4096> buffer{};
+    ssize_t count = 0;
+    while ((count = recv(connection.fd, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
+        connection.received.append(buffer.data(), static_cast<std::size_t>(count));
+    return connection.received.find("\r\n\r\n") != std::string::npos;
+}
+
 std::string RawServer::awaitRequest()
 {
-    std::string received;
-    m_loop.runUntil(
-        [&] {
-            const int fd = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
-            if (fd >= 0) {
-                close();
-                m_connection = fd;
-                ++m_accepted;
-            }
-            std::array<char, 4096> buffer{};
-            ssize_t count = 0;
-            while (m_connection >= 0
-                   && (count = recv(m_connection, buffer.data(), buffer.size(), MSG_DONTWAIT)) > 0)
-                received.append(buffer.data(), static_cast<std::size_t>(count));
-            return received.find("\r\n\r\n") != std::string::npos;
-        },
-        patience);
-    return received;
+    std::string request;
+    Waiting current{ m_connection, {} };
+    const auto takeRequest = [&] {
+        const int fd = accept4(m_listener, nullptr, nullptr, SOCK_NONBLOCK);
+        if (fd >= 0) {
+            m_waiting.push_back({ fd, {} });
+            ++m_accepted;
+        }
+        if (current.fd >= 0 && receive(current)) {
+            request = current.received;
+            return true;
+        }
+        const auto found = std::ranges::find_if(
+            m_waiting, [](Waiting &connection) { return receive(connection); });
+        if (found == m_waiting.end())
+            return false;
+        close();
+        m_connection = found->fd;
+        request = std::move(found->received);
+        m_waiting.erase(found);
+        return true;
+    };
+    m_loop.runUntil(takeRequest, patience);
+    return request;
 }
 
 std::size_t RawServer::send(std::string_view bytes)
--- a/src/framework/http/tests/rawserver.h
+++ b/src/framework/http/tests/rawserver.h
@@ -8,6 +8,7 @@
 namespace acaciasail::http::tests {
 
 /// A bare TCP server on the test's thread: it takes connections, and the test writes their bytes.
+/// The newest connection is that of the newest request.
 class RawServer
 {
 public:
@@ -18,8 +19,8 @@
     RawServer &operator=(const RawServer &) = delete;
 
     kernel::Endpoint endpoint() const { return m_endpoint; }
-    /// Runs the loop until a connection has come and its request's head has arrived, or five
-    /// seconds passed; returns what arrived.
+    /// Runs the loop until the head of a request has arrived, or five seconds passed; returns what
+    /// arrived. A request on another connection than the one before ends that one.
     std::string awaitRequest();
     /// Writes to the newest connection; returns how many of the bytes the system took.
     std::size_t send(std::string_view bytes);
@@ -37,9 +38,21 @@
     std::size_t connections() const { return m_accepted; }
 
 private:
+    // A connection on which no whole head has arrived.
+    struct Waiting
+    {
+        int fd;
+        std::string received;
+    };
+
+    // Takes in what has arrived; tells whether a request's head is whole.
+    static bool receive(Waiting &connection);
+
     EventLoop &m_loop;
     int m_listener = -1;
+    // The connection of the newest request.
     int m_connection = -1;
+    std::vector<Waiting> m_waiting;
     std::size_t m_accepted = 0;
     kernel::Endpoint m_endpoint;
 };
