Fix: an answer in a coding that no request allows is no answer

Callers saw: an answer with "Transfer-Encoding: gzip", "identity", "chunked, gzip" or an empty coding reached them without that field, so with a body that isn't the upstream's: coded, or with the chunks' sizes in it, until the connection's end. Chunks from an HTTP/1.0 upstream, or on a 204, had two readings.

Cause: both parser libraries leave codings other than a last "chunked" to their user; the client, which asks for none, didn't look.

Change: a head's Transfer-Encoding is "chunked", once, on HTTP/1.1; its Content-Length is one number; a 204 states no body, like an interim answer. Else the answer is malformed.

--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -19,7 +19,10 @@
 constexpr int firstStatus = 100;
 constexpr int switchingProtocols = 101;
 constexpr int firstFinalStatus = 200;
+constexpr int noContent = 204;
 constexpr int lastStatus = 599;
+// Ten times the version's number.
+constexpr int firstVersionWithChunks = 11;
 
 std::string toLower(beast::string_view text)
 {
@@ -64,9 +67,11 @@
                          beast::error_code &) override
     {}
 
-    void on_response_impl(int status, beast::string_view, int, beast::error_code &code) override
+    void on_response_impl(int status, beast::string_view, int version,
+                          beast::error_code &code) override
     {
         m_head.status = status;
+        m_version = version;
         // No request asks for a change of protocol.
         if (status < firstStatus || status > lastStatus || status == switchingProtocols)
             code = error::bad_status;
@@ -117,18 +122,39 @@
 
     void on_finish_impl(beast::error_code &) override {}
 
-    // An interim response has no body, so one that states a body could be read in two ways, and so
-    // could a response that is framed twice.
+    // What could be read in two ways is refused: a body in a response that has none by its status,
+    // a length that is stated twice, and a body in a coding that no request allows.
     bool isFramingValid() const
     {
-        if (countHeaders(m_head.headers, "content-length") > 1)
+        if (!isLengthValid() || !isCodingValid())
             return false;
         const bool statesBody = content_length().value_or(0) > 0 || chunked();
-        return !(interim() && statesBody);
+        return !(statesBody && (interim() || m_head.status == noContent));
+    }
+
+    // The library takes a list of equal numbers as a length, too.
+    bool isLengthValid() const
+    {
+        constexpr std::string_view digits = "0123456789";
+        const auto length = findHeader(m_head.headers, "content-length");
+        return !length
+               || (countHeaders(m_head.headers, "content-length") == 1
+                   && length->find_first_not_of(digits) == std::string_view::npos);
+    }
+
+    // The library leaves codings other than chunks to its user.
+    bool isCodingValid() const
+    {
+        const auto coding = findHeader(m_head.headers, "transfer-encoding");
+        return !coding
+               || (countHeaders(m_head.headers, "transfer-encoding") == 1
+                   && beast::iequals({ coding->data(), coding->size() }, "chunked")
+                   && m_version >= firstVersionWithChunks);
     }
 
     AnswerParser &m_owner;
     ClientHead m_head;
+    int m_version = 0;
 };
 
 AnswerParser::AnswerParser(bool answersHead, Handlers handlers)
--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -276,3 +276,37 @@
     }
     expectBody(text, body);
 }
+
+// Guards against a body that is not the one which the upstream sent.
+TEST(AnswerParserTest, RefusesFramingThatCanBeReadInTwoWays)
+{
+    for (const char *fields : { "Content-Length: \r\n",
+                                "Content-Length: +2\r\n",
+                                "Content-Length: -2\r\n",
+                                "Content-Length: 0x2\r\n",
+                                "Content-Length: 2 2\r\n",
+                                "Content-Length: 2, 2\r\n",
+                                "Content-Length: 2,\r\n",
+                                "Content-Length: 2a\r\n",
+                                "Content-Length: 18446744073709551616\r\n",
+                                "Content-Length: 2\r\nContent-Length: 2\r\n",
+                                "Transfer-Encoding: \r\n",
+                                "Transfer-Encoding: gzip\r\n",
+                                "Transfer-Encoding: gzip, chunked\r\n",
+                                "Transfer-Encoding: chunked, gzip\r\n",
+                                "Transfer-Encoding: chunked, chunked\r\n",
+                                "Transfer-Encoding: identity\r\n",
+                                "Transfer-Encoding: xchunked\r\n",
+                                "Transfer-Encoding: chunked;q=1\r\n",
+                                "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+                                "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+                                "Transfer-Encoding: gzip\r\nContent-Length: 2\r\n",
+                                "Content-Length: 2\r\nTransfer-Encoding: gzip\r\n" })
+        expectMalformed("HTTP/1.1 200 OK\r\n" + std::string(fields) + "\r\n"
+                        + "2\r\nok\r\n0\r\n\r\n");
+    expectMalformed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    expectMalformed("HTTP/1.1 204 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    expectBody("HTTP/1.1 200 OK\r\nTransfer-Encoding: \tChunked \r\n\r\n2\r\nok\r\n0\r\n\r\n",
+               "ok");
+    expectBody("HTTP/1.1 200 OK\r\nContent-Length:002\r\n\r\nok", "ok");
+}
