Test: chunks outside the grammar

Callers saw: bytes between chunks were skipped ("2\r\nokxy0\r\n\r\n" came through as "ok"), and trailers whose names hold a blank, bare LFs and stray bytes after a chunk's size were taken.

Cause: as with status lines, http_parser's tolerant build. The parser that came with them reads these strictly, so this adds the test only; sizes and trailers without end are refused too.

--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -310,3 +310,54 @@
                "ok");
     expectBody("HTTP/1.1 200 OK\r\nContent-Length:002\r\n\r\nok", "ok");
 }
+
+// Guards against bytes that are skipped between the chunks, and chunks that are no part of the
+// body.
+TEST(AnswerParserTest, RefusesChunksOutsideTheGrammar)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (const char *chunks : { "2\nok\r\n0\r\n\r\n",
+                                "2\rxok\r\n0\r\n\r\n",
+                                "2\r\nok\n0\r\n\r\n",
+                                "2\r\nokxy0\r\n\r\n",
+                                "2\r\nok\rx0\r\n\r\n",
+                                "2\r\nok0\r\n\r\n",
+                                "2\r\noky\r\n0\r\n\r\n",
+                                " 2\r\nok\r\n0\r\n\r\n",
+                                "2 \r\nok\r\n0\r\n\r\n",
+                                "2 3\r\nok\r\n0\r\n\r\n",
+                                "+2\r\nok\r\n0\r\n\r\n",
+                                "0x2\r\nok\r\n0\r\n\r\n",
+                                "\r\n2\r\nok\r\n0\r\n\r\n",
+                                "2;\r\nok\r\n0\r\n\r\n",
+                                "10000000000000002\r\nok\r\n0\r\n\r\n",
+                                "2\r\nok\r\n0\r\nX Bad: v\r\n\r\n",
+                                "2\r\nok\r\n0\r\n: v\r\n\r\n",
+                                "2\r\nok\r\n0\r\nX-T: v\n\r\n",
+                                "2\r\nok\r\n0\r\n\rx",
+                                "2\r\nok\r\n0\n\n",
+                                "2\r\nok\r\n0\r\n",
+                                "2\r\nok\r\n",
+                                "2\r\nok" }) {
+        for (const auto &pieces :
+             { std::vector<std::string>{ head + chunks }, bytesOf(head + chunks) }) {
+            EXPECT_EQ(parse(pieces, true).state, AnswerParser::State::Malformed)
+                << testing::PrintToString(chunks);
+        }
+    }
+    expectBody(head + "02;a=b;c=\"d\"\r\nok\r\n00;x\r\nX-T: v\r\nX-U:\r\n\r\n", "ok");
+    expectBody(head + "A\r\n0123456789\r\n1\r\na\r\n0\r\n\r\n", "0123456789a");
+    expectBody(head + "0\r\n\r\n", "");
+}
+
+// A chunk's size or trailers without end must not fill the memory.
+TEST(AnswerParserTest, RefusesChunkSizeAndTrailersWithoutEnd)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    for (const char *begin : { "2;a=", "0\r\nX-T: " }) {
+        std::vector<std::string> pieces{ head + begin };
+        for (int i = 0; i < 20; ++i)
+            pieces.emplace_back(8000, 'a');
+        EXPECT_EQ(parse(pieces).state, AnswerParser::State::Malformed) << begin;
+    }
+}
