Fix: a cut answer to an HTTP/1.0 caller is reset

Callers saw: an HTTP/1.0 caller, whose answers are ended by the connection's end, got an answer that was cut by its upstream, or by a router's exit, with an orderly end, so as a whole one.

Cause: abort() shuts the connection down in good order; that is visible as a cut only where chunks say so.

Change: once an answer has begun, abort() resets the connection of a caller before HTTP/1.1. A whole answer still ends in good order. A request that is cut in its body, with a length or in chunks, was handled right before; the test stays.

--- a/src/framework/http/internal/responder.cpp
+++ b/src/framework/http/internal/responder.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include "http/internal/callerconnections.h"
+#include "http/internal/socketoptions.h"
 
 namespace acaciasail::http {
 
@@ -158,9 +159,13 @@
     if (m_request == nullptr)
         return;
     // Over HTTP/1 the caller sees the connection end: before an answer's head, or within its body.
-    // What the library would send for an error is no part of any answer.
+    // What the library would send for an error is no part of any answer. Before HTTP/1.1 there are
+    // no chunks, and an orderly end would complete the answer.
+    constexpr int chunksVersion = 0x101;
     constexpr int http2Version = 0x200;
-    if (m_request->version < http2Version)
+    if (m_started && m_request->version < chunksVersion)
+        resetNow(descriptor());
+    else if (m_request->version < http2Version)
         shutdown(descriptor(), SHUT_RDWR);
     if (!m_started)
         start(500, {});
--- a/src/framework/http/internal/socketoptions.cpp
+++ b/src/framework/http/internal/socketoptions.cpp
@@ -80,6 +80,13 @@
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
 }
 
+void resetNow(int fd)
+{
+    // POSIX lets connect() with an unspecified address dissolve a connection.
+    const sockaddr unspecified{ .sa_family = AF_UNSPEC, .sa_data = {} };
+    (void) connect(fd, &unspecified, sizeof unspecified);
+}
+
 void resetOnClose(int fd)
 {
     const linger now{ .l_onoff = 1, .l_linger = 0 };
--- a/src/framework/http/internal/socketoptions.h
+++ b/src/framework/http/internal/socketoptions.h
@@ -26,6 +26,9 @@
 /// that come with one read.
 void limitReceiveBuffer(int fd);
 
+/// Resets a connection at once; the descriptor stays open.
+void resetNow(int fd);
+
 /// Makes the close of a connection a reset: bytes that the peer has not got yet are dropped.
 void resetOnClose(int fd);
 
--- a/src/framework/http/tests/server_tests.cpp
+++ b/src/framework/http/tests/server_tests.cpp
@@ -124,6 +124,65 @@
     EXPECT_EQ(connection.readUntil("x").find("\r\n0\r\n"), std::string::npos);
 }
 
+// Guards against a part that passes for the whole where only the connection's end ends an answer.
+TEST_F(HttpServer, AnAbortedAnswerToAnOldCallerIsReset)
+{
+    for (const bool pieceByPiece : { false, true }) {
+        std::shared_ptr<Responder> kept;
+        serve([&](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+            kept = responder;
+            responder->start(200, {});
+            responder->write("part");
+        });
+        RawConnection connection(m_loop, m_server->endpoint());
+        connection.send("GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+        ASSERT_TRUE(m_loop.runUntil([&] { return kept != nullptr; }, patience));
+        if (pieceByPiece)
+            connection.readUntil("part");
+        kept->abort();
+        EXPECT_TRUE(connection.waitForClose());
+        EXPECT_TRUE(connection.wasReset());
+    }
+}
+
+TEST_F(HttpServer, AWholeAnswerToAnOldCallerEndsInGoodOrder)
+{
+    serve([&](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+        responder->start(200, {});
+        responder->write("whole");
+        responder->finish();
+    });
+    RawConnection connection(m_loop, m_server->endpoint());
+    connection.send("GET / HTTP/1.0\r\nhost: x\r\n\r\n");
+    EXPECT_TRUE(connection.waitForClose());
+    EXPECT_FALSE(connection.wasReset());
+    EXPECT_NE(connection.readUntil("whole").find("\r\n\r\nwhole"), std::string::npos);
+}
+
+// Guards against a request that runs although its caller sent only a part of it.
+TEST_F(HttpServer, ARequestThatIsCutInItsBodyIsNotHandled)
+{
+    int handled = 0;
+    serve([&](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
+        ++handled;
+        responder->send(200, {}, "");
+    });
+    const std::string head = "POST / HTTP/1.1\r\nhost: x\r\n";
+    for (const std::string &part :
+         { head + "content-length: 5\r\n\r\n", head + "content-length: 5\r\n\r\nhell",
+           head + "transfer-encoding: chunked\r\n\r\n",
+           head + "transfer-encoding: chunked\r\n\r\n5\r\nhell",
+           head + "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n",
+           head + "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n" }) {
+        RawConnection connection(m_loop, m_server->endpoint());
+        connection.send(part);
+        m_loop.runUntil([] { return false; }, 5ms);
+        connection.finishSending();
+        EXPECT_TRUE(connection.waitForClose()) << part;
+        EXPECT_EQ(handled, 0) << part;
+    }
+}
+
 TEST_F(HttpServer, AbortBeforeTheHeadSendsNothing)
 {
     serve([](const ServerRequest &, const std::shared_ptr<Responder> &responder) {
--- a/src/framework/http/tests/testclient.cpp
+++ b/src/framework/http/tests/testclient.cpp
@@ -1,6 +1,7 @@
 #include "http/tests/testclient.h"
 
 #include <array>
+#include <cerrno>
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -35,6 +36,11 @@
     m_fd = -1;
 }
 
+void RawConnection::finishSending()
+{
+    shutdown(m_fd, SHUT_WR);
+}
+
 void RawConnection::send(std::string_view bytes)
 {
     (void) ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -46,6 +52,7 @@
     const ssize_t count = recv(m_fd, buffer.data(), buffer.size(), MSG_DONTWAIT);
     if (count > 0)
         m_received.append(buffer.data(), static_cast<std::size_t>(count));
+    m_reset = m_reset || (count < 0 && errno == ECONNRESET);
     return count > 0 || (count < 0 && errno == EAGAIN);
 }
 
--- a/src/framework/http/tests/testclient.h
+++ b/src/framework/http/tests/testclient.h
@@ -21,6 +21,10 @@
     std::string readUntil(std::string_view text);
     /// Runs the loop until the peer closes, or five seconds passed; tells which.
     bool waitForClose();
+    /// Whether the peer has reset the connection, as far as it was read.
+    bool wasReset() const { return m_reset; }
+    /// Ends the own direction in good order.
+    void finishSending();
     void close();
 
 private:
@@ -30,6 +34,7 @@
     EventLoop &m_loop;
     int m_fd;
     std::string m_received;
+    bool m_reset = false;
 };
 
 } // namespace acaciasail::http::tests
