Soak: upstreams' heads outside the grammar

Change: the proxy in front of a runner can change the head of each answer in twelve ways that the grammar of HTTP/1.1 doesn't allow (names, folded lines, a bare LF, a coding, four statuses); callers judge that each answer is one by the grammar.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -96,6 +96,8 @@
         handlers.onBody = [this](std::string_view piece) { m_asked->body += piece; };
         handlers.onEnd = [this](const kernel::Completion<kernel::Done> &outcome) {
             m_asked->complete = outcome.ok();
+            m_asked->malformed
+                = !outcome.ok() && outcome.error().code == kernel::ResultCode::UpstreamProtocol;
             end(outcome.ok() ? "" : outcome.error().message);
         };
         m_timer
--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -180,7 +180,7 @@
 void Faults::degradeRunnerPath()
 {
     RunnerPlace &runner = anyRunner();
-    const auto roll = kernel::uniformBelow(m_random, 4);
+    const auto roll = kernel::uniformBelow(m_random, 5);
     if (roll == 0) {
         m_world.recordUnplanned("path to " + runner.id + " reset", {});
         m_world.recordPathTrouble(runner.id, {});
@@ -189,7 +189,8 @@
     }
     const ProxyBehaviour behaviour = roll == 1   ? ProxyBehaviour::Slow
                                      : roll == 2 ? ProxyBehaviour::OneWay
-                                                 : ProxyBehaviour::Silent;
+                                     : roll == 3 ? ProxyBehaviour::Silent
+                                                 : ProxyBehaviour::BreaksHeads;
     const kernel::Duration time = between(300ms, 2s);
     m_world.recordUnplanned("path to " + runner.id + " spoilt", time);
     m_world.recordPathTrouble(runner.id, time);
--- a/soak/loopbackproxy.cpp
+++ b/soak/loopbackproxy.cpp
@@ -30,6 +30,31 @@
     h2o_socket_close(socket);
 }
 
+// Returns the bytes, with a fault in the head if they begin with one.
+std::string breakHead(std::string bytes, std::size_t fault)
+{
+    constexpr std::string_view version = "HTTP/1.1 ";
+    constexpr std::array lines{ "X Broken: a\r\n",
+                                "X-Broken : a\r\n",
+                                "X\x01"
+                                "Broken: a\r\n",
+                                ": a\r\n",
+                                "Content-Length : 3\r\n",
+                                "X-Broken: a\r\n Content-Length: 3\r\n",
+                                "X-Broken: a\nb: c\r\n",
+                                "Transfer-Encoding: gzip\r\n" };
+    constexpr std::array statuses{ "000", "0200", " 200", "20" };
+    const std::size_t line = bytes.find("\r\n");
+    if (!bytes.starts_with(version) || line == std::string::npos)
+        return bytes;
+    const std::size_t way = fault % (lines.size() + statuses.size());
+    if (way < lines.size())
+        bytes.insert(line + 2, lines[way]);
+    else
+        bytes.replace(version.size(), 3, statuses[way - lines.size()]);
+    return bytes;
+}
+
 } // namespace
 
 // A client's connection and the connection to the server that it is forwarded to.
@@ -125,7 +150,8 @@
             if (loses(from))
                 m_lostBytes = true;
             else
-                m_ends[to].queue.emplace_back(socket->input->bytes, socket->input->size);
+                m_ends[to].queue.push_back(
+                    forwarded(from, { socket->input->bytes, socket->input->size }));
             h2o_buffer_consume(&socket->input, socket->input->size);
         }
         if (error != nullptr) {
@@ -144,6 +170,13 @@
         schedule(to);
     }
 
+    std::string forwarded(std::size_t from, std::string bytes)
+    {
+        if (from == 0 || m_proxy.m_behaviour != ProxyBehaviour::BreaksHeads)
+            return bytes;
+        return breakHead(std::move(bytes), m_proxy.m_brokenHeads++);
+    }
+
     bool loses(std::size_t from) const
     {
         return m_deaf || m_proxy.m_behaviour == ProxyBehaviour::Silent
--- a/soak/loopbackproxy.h
+++ b/soak/loopbackproxy.h
@@ -22,6 +22,9 @@
     /// Bytes of both directions are kept, and delivered some time after the behaviour changes. A
     /// client that resets its connection takes its bytes back.
     Held,
+    /// The head of each answer that begins a piece of the server's bytes is changed into one that
+    /// the grammar of HTTP/1.1 doesn't allow; the way changes from answer to answer.
+    BreaksHeads,
 };
 
 /// Forwards the connections to a loopback address to another address.
@@ -53,6 +56,7 @@
     kernel::Endpoint m_target;
     kernel::Endpoint m_endpoint;
     ProxyBehaviour m_behaviour = ProxyBehaviour::Pass;
+    std::size_t m_brokenHeads = 0;
     st_h2o_socket_t *m_listener = nullptr;
     std::unordered_map<Link *, std::unique_ptr<Link>> m_links;
 };
--- a/soak/record.cpp
+++ b/soak/record.cpp
@@ -80,11 +80,14 @@
 void judgeTruth(const Record &record, std::vector<std::string> &broken)
 {
     Findings wrong("an answer is the request's own and whole", broken);
+    Findings malformed("an answer is one by the grammar", broken);
     Findings order("a stream's events come once each and in order", broken);
     Findings twice("an unsafe request runs once at most", broken);
     Findings refused("a refused request has not run", broken);
     for (const Asked &asked : record.asked) {
         const std::string expected = expectedBody(asked);
+        if (asked.malformed)
+            malformed.add(describe(asked));
         if (asked.status == httpOk && asked.complete && asked.body != expected)
             wrong.add(describe(asked));
         if (asked.status == httpOk && asked.kind == AskKind::Stream
--- a/soak/record.h
+++ b/soak/record.h
@@ -38,6 +38,8 @@
     bool passedOn = false;
     /// Whether the response was received completely.
     bool complete = false;
+    /// Whether the bytes that came were no HTTP response.
+    bool malformed = false;
     std::string body;
     std::string error;
 };
