--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -87,10 +87,9 @@
 
     void on_header_impl(beast::error_code &code) override
     {
-        if (!isFramingValid()) {
-            code = error::bad_field;
+        checkFraming(code);
+        if (code)
             return;
-        }
         if (interim())
             return;
         if (const auto length = content_length())
@@ -122,14 +121,17 @@
 
     void on_finish_impl(beast::error_code &) override {}
 
-    // What could be read in two ways is refused: a body in a response that has none by its status,
-    // a length that is stated twice, and a body in a coding that no request allows.
-    bool isFramingValid() const
+    // What could be read in two ways is refused: a length that is stated twice, a body in a coding
+    // that no request allows, and one in a response that has none by its status.
+    void checkFraming(beast::error_code &code) const
     {
-        if (!isLengthValid() || !isCodingValid())
-            return false;
         const bool statesBody = content_length().value_or(0) > 0 || chunked();
-        return !(statesBody && (interim() || m_head.status == noContent));
+        if (!isLengthValid())
+            code = error::bad_content_length;
+        else if (!isCodingValid())
+            code = error::bad_transfer_encoding;
+        else if (statesBody && (interim() || m_head.status == noContent))
+            code = error::unexpected_body;
     }
 
     // The library takes a list of equal numbers as a length, too.
--- a/src/upstreams/internal/jobrun.cpp
+++ b/src/upstreams/internal/jobrun.cpp
@@ -223,7 +223,8 @@
                        { "crashed", crashed },
                        { "retry", decision.followUp == FollowUp::Retry
                                       || decision.followUp == FollowUp::RetryIsolated },
-                       { "reason", decision.reason } });
+                       { "reason", decision.reason },
+                       { "detail", m_result.message } });
     m_failedUpstreams.push_back(m_attempt->target.upstream);
     endAttempt(code, crashed);
     applyDecision(decision);
