Fix: the end of an empty body in chunks may arrive byte by byte

Cause: Boost.Beast asserts that it has at least five bytes when it goes on with a last chunk's size; in builds with assertions "0 CR LF" and then "CR" ended the process. Without assertions the answer was read rightly.

Change: AnswerParser keeps the rest of a chunk's size until it has as many; no body in chunks ends with fewer.

Evidence (x86_64): http_tests with sanitizers ended in AnswerParserTest.RefusesChunksOutsideTheGrammar; 88 of 88 pass now.

--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -24,6 +24,10 @@
 // Ten times the version's number.
 constexpr int firstVersionWithChunks = 11;
 
+// Bytes of the shortest end of a body in chunks, "0 CR LF CR LF". The library asserts that it has
+// as many when it goes on with a chunk's size.
+constexpr std::size_t minLastChunkBytes = 5;
+
 std::string toLower(beast::string_view text)
 {
     std::string result;
@@ -208,7 +212,9 @@
         joined.append(bytes);
     const std::string_view input = earlier > 0 ? std::string_view(joined) : bytes;
     std::size_t taken = 0;
-    const State state = read(input, taken);
+    const bool goesOnWithChunk = m_headComplete && earlier > 0;
+    const State state
+        = goesOnWithChunk && input.size() < minLastChunkBytes ? State::Reading : read(input, taken);
     m_consumed = state == State::Complete ? taken - earlier : bytes.size();
     if (state != State::Reading)
         return state;
