Test: the tests of broken answers stand with the router's

Change: strings are appended; the tests of broken answers through a router stand in src/app/router/tests and take the platform's names from there; the same cases are sent.

--- a/platform/tests/brokenanswers_tests.cpp
+++ b/src/app/router/tests/brokenanswers_tests.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "http/tests/rawserver.h"
+#include "platform/names.h"
 #include "platform/tests/routerfixture.h"
 
 using namespace acaciasail;
@@ -13,6 +14,7 @@
 using acaciasail::http::tests::RawServer;
 using acaciasail::platform::testing::makeConfigurationSpec;
 using acaciasail::platform::testing::makeRunnerSpec;
+using acaciasail::platform::testing::readStamp;
 using acaciasail::platform::testing::setCallerLimits;
 using namespace std::chrono_literals;
 
@@ -103,8 +105,8 @@
             ASSERT_TRUE(m_result->ok());
             EXPECT_EQ(m_result->value().head.status, 502);
             EXPECT_EQ(m_result->value().body, "");
-            for (const char *name : { "retry-after", "x-response-stamp" })
-                EXPECT_FALSE(http::findHeader(m_result->value().head.headers, name)) << name;
+            EXPECT_EQ(readStamp(m_result->value().head.headers), "");
+            EXPECT_FALSE(http::findHeader(m_result->value().head.headers, "retry-after"));
         }
     }
 
@@ -118,10 +120,12 @@
 TEST_F(BrokenAnswersTest, StatusLineOutsideTheGrammarReachesNoCaller)
 {
     startWithRunner();
-    for (const char *line : { "HTTP/1.1 000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1  200 OK",
-                              "HTTP/1.1 20 OK", "HTTP/2.0 200 OK", "HTTP/1.1 200 O\x01K",
-                              "\r\nHTTP/1.1 200 OK", "HTTP/1.1 0503 Busy\r\nX-Not-Run: 1" })
+    for (const char *line :
+         { "HTTP/1.1 000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1  200 OK", "HTTP/1.1 20 OK",
+           "HTTP/2.0 200 OK", "HTTP/1.1 200 O\x01K", "\r\nHTTP/1.1 200 OK" })
         expectBadGateway(line, "");
+    // What such an answer says of the request is not believed either.
+    expectBadGateway("HTTP/1.1 0503 Busy", std::string(platform::names::notRunHeader) + ": 1\r\n");
 }
 
 TEST_F(BrokenAnswersTest, LineThatIsNoFieldReachesNoCaller)
@@ -130,7 +134,7 @@
     for (const char *line :
          { "X Any: v", "X-Any : v", " X-Any: v", "\tX-Any: v", "X\x01: v", "X-Any\x7f: v", "X(: v",
            "Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked",
-           " Transfer-Encoding: chunked", "Connection : x-response-stamp", "X-Any: a\n", ": v" })
+           " Transfer-Encoding: chunked", "Connection : close", "X-Any: a\n", ": v" })
         expectBadGateway("HTTP/1.1 200 OK", std::string(line) + "\r\n");
 }
 
--- a/src/framework/http/tests/answerparser_tests.cpp
+++ b/src/framework/http/tests/answerparser_tests.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cctype>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -172,6 +173,14 @@
                       != std::string_view::npos);
 }
 
+std::string joined(std::initializer_list<std::string_view> parts)
+{
+    std::string result;
+    for (const std::string_view part : parts)
+        result.append(part);
+    return result;
+}
+
 std::vector<std::string> bytesOf(const std::string &text)
 {
     std::vector<std::string> pieces;
@@ -223,9 +232,9 @@
                 line.insert(at, 1, static_cast<char>(byte));
                 line.append(": ").append(value).append("\r\n");
                 const std::string body = value == "chunked" ? "2\r\nok\r\n0\r\n\r\n" : "ok";
-                expectMalformed("HTTP/1.1 200 OK\r\n" + line + "\r\n" + body);
-                expectMalformed("HTTP/1.1 200 OK\r\nX-One: a\r\n" + line + "\r\n" + body);
-                expectMalformed("HTTP/1.1 103 Early\r\n" + line + "\r\n" + sized);
+                expectMalformed(joined({ "HTTP/1.1 200 OK\r\n", line, "\r\n", body }));
+                expectMalformed(joined({ "HTTP/1.1 200 OK\r\nX-One: a\r\n", line, "\r\n", body }));
+                expectMalformed(joined({ "HTTP/1.1 103 Early\r\n", line, "\r\n", sized }));
             }
         }
     }
--- a/src/framework/http/tests/brokenanswers_tests.cpp
+++ b/src/framework/http/tests/brokenanswers_tests.cpp
@@ -135,7 +135,8 @@
             for (const std::size_t at : { std::size_t(0), name.size() / 2, name.size() }) {
                 std::string line = name;
                 line.insert(at, 1, byte);
-                expectNoAnswer(status + line + ": 2\r\n" + fieldsAndBody);
+                line.append(": 2\r\n").append(fieldsAndBody);
+                expectNoAnswer(status + line);
             }
         }
     }
@@ -147,5 +148,5 @@
     for (const char *lines :
          { "", "X_y.z~1!#$%&'*+-^`|: v\r\n", "x-empty:\r\n", "x-blanks: \t a b \t\r\n",
            "x-high: \xe9\xff\r\n", "connection: close, x-one\r\n" })
-        expectAnswer(status + lines + fieldsAndBody, 200);
+        expectAnswer(std::string(status).append(lines).append(fieldsAndBody), 200);
 }
