Fix: a list goes on after the name of its page's last object, whatever the name holds

Callers saw: after a restart of all routers almost no request was served, while an entry of another writer stood in a list of more than one page. Its name held a character such as &, +, #, % or a blank.

Cause: a list of more than one page goes on after the name of the last object read, and StoreClient put that name into the query as it was. After & and # the rest of it was another parameter or none, + was read as a blank, %41 as a letter: the store answered with an earlier page, and the router asked for the same pages for ever. With a blank or a control byte the line was no request, so each list failed. No list was ever complete, so the router never became ready.

Change: the name is encoded as any value of a query (RFC 3986). The function that did so for the daemon's keys moves to the HTTP library, beside the one that decodes, and serves both; it left ":" and "/" as they are, which is now the caller's choice.

--- a/src/externals/internal/httpplatform.cpp
+++ b/src/externals/internal/httpplatform.cpp
@@ -50,7 +50,7 @@
 
 std::string objectPath(const std::string &key)
 {
-    return "/objects/" + percentEncode(key);
+    return "/objects/" + http::percentEncode(key, keyCharacters);
 }
 
 std::string quoted(const std::string &key)
@@ -108,7 +108,8 @@
     };
     store.list = [caller](const std::string &prefix, kernel::Callback<ObjectList> callback) {
         caller.call<ObjectList>(
-            CallKind::Read, caller.request("GET", "/objects?prefix=" + percentEncode(prefix)),
+            CallKind::Read,
+            caller.request("GET", "/objects?prefix=" + http::percentEncode(prefix, keyCharacters)),
             "the list of \"" + prefix + "\"", parseObjectList, std::move(callback));
     };
     addWrites(store, caller);
--- a/src/externals/internal/objectwatch.cpp
+++ b/src/externals/internal/objectwatch.cpp
@@ -131,8 +131,8 @@
 {
     http::ClientRequest request;
     request.endpoint = options.endpoint;
-    request.path
-        = "/watch?prefix=" + percentEncode(prefix) + "&after=" + std::to_string(after.count());
+    request.path = "/watch?prefix=" + http::percentEncode(prefix, keyCharacters)
+                   + "&after=" + std::to_string(after.count());
     request.connectTimeout = options.connectTimeout;
     request.idleTimeout = options.watchHeartbeat * silentHeartbeats;
     auto watch = std::make_shared<ObjectWatch>(scheduler, std::move(handlers));
--- a/src/externals/internal/replies.cpp
+++ b/src/externals/internal/replies.cpp
@@ -1,7 +1,5 @@
 #include "externals/internal/replies.h"
 
-#include <cctype>
-
 #include <nlohmann/json.hpp>
 
 namespace acaciasail::externals {
@@ -235,22 +233,4 @@
     return Json{ { "version", version.str() } }.dump();
 }
 
-std::string percentEncode(std::string_view text)
-{
-    constexpr std::string_view plain = "-._~/:";
-    constexpr std::string_view digits = "0123456789ABCDEF";
-    std::string encoded;
-    for (const char c : text) {
-        const auto byte = static_cast<unsigned char>(c);
-        if (std::isalnum(byte) != 0 || plain.find(c) != std::string_view::npos) {
-            encoded += c;
-        } else {
-            encoded += '%';
-            encoded += digits[byte >> 4U];
-            encoded += digits[byte & 15U];
-        }
-    }
-    return encoded;
-}
-
 } // namespace acaciasail::externals
--- a/src/externals/internal/replies.h
+++ b/src/externals/internal/replies.h
@@ -10,6 +10,10 @@
 
 namespace acaciasail::externals {
 
+/// Characters that stay as they are in a key or prefix that is sent in a target: they separate the
+/// key's parts.
+constexpr std::string_view keyCharacters = "/:";
+
 /// What a call does; it decides what a missing reply means.
 enum class CallKind {
     Read,
@@ -37,7 +41,4 @@
 /// The body of a request for leave to load a version.
 std::string formatReservation(const kernel::VersionId &version);
 
-/// Encodes a text for a path or query; slashes stay.
-std::string percentEncode(std::string_view text);
-
 } // namespace acaciasail::externals
--- a/src/framework/http/internal/message.cpp
+++ b/src/framework/http/internal/message.cpp
@@ -1,6 +1,8 @@
 #include "http/internal/message.h"
 
 #include <algorithm>
+#include <array>
+#include <cctype>
 #include <charconv>
 
 namespace acaciasail::http {
@@ -86,4 +88,23 @@
     return std::nullopt;
 }
 
+std::string percentEncode(std::string_view text, std::string_view plain)
+{
+    constexpr std::string_view unreserved = "-._~";
+    constexpr std::string_view digits = "0123456789ABCDEF";
+    std::string encoded;
+    for (const char c : text) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (std::isalnum(byte) != 0 || unreserved.find(c) != std::string_view::npos
+            || plain.find(c) != std::string_view::npos) {
+            encoded += c;
+        } else {
+            encoded += '%';
+            encoded += digits[byte >> 4U];
+            encoded += digits[byte & 15U];
+        }
+    }
+    return encoded;
+}
+
 } // namespace acaciasail::http
--- a/src/framework/http/internal/message.h
+++ b/src/framework/http/internal/message.h
@@ -49,6 +49,10 @@
 /// The value of a query's parameter, with %XX and + decoded.
 std::optional<std::string> queryParameter(std::string_view query, std::string_view name);
 
+/// Encodes any bytes as one segment of a path, or as the value of a query's parameter (RFC 3986,
+/// section 2): all but unreserved characters and those in `plain` become %XX.
+std::string percentEncode(std::string_view text, std::string_view plain = {});
+
 /// Certificate and key of a TLS listener or client.
 struct TlsFiles
 {
--- a/src/framework/http/tests/message_tests.cpp
+++ b/src/framework/http/tests/message_tests.cpp
@@ -22,6 +22,19 @@
     EXPECT_EQ(queryParameter("a=%zz", "a"), "%zz");
 }
 
+TEST(Message, EncodesAllButUnreservedCharacters)
+{
+    EXPECT_EQ(percentEncode("aZ09-._~"), "aZ09-._~");
+    EXPECT_EQ(percentEncode("&+#% ?/=;"), "%26%2B%23%25%20%3F%2F%3D%3B");
+    EXPECT_EQ(percentEncode(std::string("\0\r\n\x7f\xff", 5)), "%00%0D%0A%7F%FF");
+    EXPECT_EQ(percentEncode("a/b:c d", "/:"), "a/b:c%20d");
+}
+
+RC_GTEST_PROP(Message, EncodedBytesAreDecodedToThemselves, (const std::string &bytes))
+{
+    RC_ASSERT(queryParameter("a=1&b=" + percentEncode(bytes) + "&c=2", "b") == bytes);
+}
+
 RC_GTEST_PROP(Message, AnyQueryIsReadWithoutFault, (const std::string &query))
 {
     queryParameter(query, "a");
