Fix: a list goes on after the last name that the store sent, in the store's own bytes

Cause: the list went on after the last object that could be used. Where a text had bytes that are no UTF-8, each of its bytes beyond ASCII had been replaced by "?" to read it, so another name was sent, which sorts before the entry: the store answered with the same page for ever. An object that couldn't be used told no name, so a page of such objects ended the list, and the sound ones after it counted as gone. An empty name meant the first page.

Change: each page tells the bytes of its last name (ListCursor), also of an object that can't be used.

--- a/src/app/router/tests/oddnames.h
+++ b/src/app/router/tests/oddnames.h
@@ -41,6 +41,11 @@
              { "Umlaut", "\xc3\xbc" },
              { "FourBytes", "\xf0\x9f\x98\x80" },
              { "LastCodePoint", "\xf4\x8f\xbf\xbf" },
+             { "NoUtf8", "a\xff\xfe" },
+             { "NoUtf8AfterUtf8", "\xc3\xbc\x80" },
+             { "Surrogate", "\xed\xa0\x80" },
+             { "LastBytes", "\xf4\x8f\xbf\xbf\xff" },
+             { "Empty", "" },
              { "Long", std::string(longName, '+') } };
 }
 
--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -101,9 +101,8 @@
 void KindWatcher::requestPage(AttemptNumber number, Connection connection)
 {
     ListAttempt &attempt = m_listAttempts.at(number);
-    const std::string after = attempt.objects.empty() ? "" : attempt.objects.back().name;
     attempt.call = m_reader.list(
-        m_kind, after, connection,
+        m_kind, attempt.after, connection,
         [this, number](const kernel::Completion<ObjectPage> &outcome) { onPage(number, outcome); });
     expectResponse(listResponseLimit);
 }
@@ -124,13 +123,13 @@
     logUnreadable(page.unreadable);
     ListAttempt &attempt = m_listAttempts.at(number);
     // Pages of two epochs are no list of either.
-    if (!attempt.objects.empty() && attempt.position.epoch != page.position.epoch) {
+    if (attempt.after && attempt.position.epoch != page.position.epoch) {
         listAgain(ListReason::StoreRestored);
         return;
     }
     // The watch starts at the first page's position, so that it returns the changes made while the
     // other pages were read.
-    if (attempt.objects.empty()) {
+    if (!attempt.after) {
         attempt.position = page.position;
         attempt.relayed = page.relayed;
     }
@@ -139,10 +138,11 @@
         for (const StoredObject &object : page.objects)
             m_coordinator.recordChange(object.position);
     }
-    if (!page.hasMore || page.objects.empty()) {
+    if (!page.hasMore || !page.last) {
         completeList(number, page.position);
         return;
     }
+    attempt.after = page.last;
     // The store responds, so the other attempts are not needed.
     std::erase_if(m_listAttempts, [number](const auto &other) { return other.first != number; });
     m_newestAttempt = number;
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -105,6 +105,7 @@
         StoreCall call;
         kernel::Instant startedAt{};
         std::vector<StoredObject> objects;
+        ListCursor after;
         kernel::StorePosition position;
         // Set if a relay answered.
         std::map<std::string, RelayedKnowledge> relayed;
--- a/src/storewatch/internal/storereader.h
+++ b/src/storewatch/internal/storereader.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -35,12 +36,17 @@
     friend bool operator==(const RelayedKnowledge &, const RelayedKnowledge &) = default;
 };
 
+/// The name after which a list goes on, in the store's own bytes; empty for the list's first page.
+using ListCursor = std::optional<std::string>;
+
 /// The objects of one kind that one list or watch call returned.
 struct ObjectPage
 {
     std::vector<StoredObject> objects;
-    /// Whether the list continues after the last object's name.
+    /// Whether the list goes on after this page.
     bool hasMore = false;
+    /// The last of the page's objects whose name can be read, also if the rest of it can't be.
+    ListCursor last = {};
     /// Number of objects that can't be read; they are left out.
     std::size_t unreadable = 0;
     /// The store's position at the time of the call; from a relay, the position up to which it
@@ -109,10 +115,9 @@
 /// changes since the given position.
 struct StoreReader
 {
-    /// Lists one page of a kind's objects: those after the name `after`, which is empty for the
-    /// first page.
-    std::function<StoreCall(const std::string &kind, const std::string &after,
-                            Connection connection, kernel::Callback<ObjectPage> callback)>
+    /// Lists one page of a kind's objects.
+    std::function<StoreCall(const std::string &kind, const ListCursor &after, Connection connection,
+                            kernel::Callback<ObjectPage> callback)>
         list;
     /// Returns the changes of a kind after a position, once there are any or after `wait`.
     std::function<StoreCall(const std::string &kind, kernel::StorePosition after,
--- a/src/storewatch/tests/kindwatcher_tests.cpp
+++ b/src/storewatch/tests/kindwatcher_tests.cpp
@@ -52,9 +52,9 @@
         };
         return {
             .list =
-                [record](const std::string &kind, const std::string &after, Connection connection,
+                [record](const std::string &kind, const ListCursor &after, Connection connection,
                          kernel::Callback<ObjectPage> callback) {
-                    const std::string question = after.empty() ? "list" : "list after " + after;
+                    const std::string question = after ? "list after " + *after : "list";
                     return record({ kind, question, connection, std::move(callback) });
                 },
             .watch =
@@ -180,6 +180,7 @@
 {
     ObjectPage first = change("m", 7);
     first.hasMore = true;
+    first.last = "m";
     respond(first);
     EXPECT_EQ(lastQuestion(), "list after m");
     EXPECT_EQ(m_listCount, 0);
--- a/src/storewatch/tests/knowledgeage_tests.cpp
+++ b/src/storewatch/tests/knowledgeage_tests.cpp
@@ -65,7 +65,7 @@
     StoreReader reader()
     {
         return { .list =
-                     [this](const std::string &kind, const std::string &, Connection connection,
+                     [this](const std::string &kind, const ListCursor &, Connection connection,
                             kernel::Callback<ObjectPage> callback) {
                          return start(std::make_shared<Call>(
                                           Call{ .kind = kind, .callback = std::move(callback) }),
--- a/src/storewatch/tests/relay_tests.cpp
+++ b/src/storewatch/tests/relay_tests.cpp
@@ -532,7 +532,7 @@
     {
         return {
             .list =
-                [this, isCut](const std::string &kind, const std::string &, Connection,
+                [this, isCut](const std::string &kind, const ListCursor &, Connection,
                               kernel::Callback<ObjectPage> callback) {
                     return m_network.start(
                         0ms,
@@ -563,7 +563,7 @@
         const StoreReader store = storeReader([] { return false; });
         return {
             .list =
-                [this, store](const std::string &kind, const std::string &after,
+                [this, store](const std::string &kind, const ListCursor &after,
                               Connection connection, kernel::Callback<ObjectPage> callback) {
                     const std::size_t source = kernel::uniformBelow(m_random, relayCount + 1);
                     if (source == relayCount)
