Fix: a list that makes no progress ends, and isn't taken for the whole

What could be seen: a store whose pages come round again, or say that more follows without a name to go on from, was asked for pages without end and without a pause, and nothing was ever in force. Where a page had no object that could be read, the list ended there and the sound objects after it counted as gone.

Cause: each page was followed by a call for the next one, whatever it held, and the first page without a usable object was taken for the last one.

Change: a list goes on only after a name that ended none of its pages before, and for 1,000 pages at most. One that can't go on is incomplete: what it has is in force, what is known of the other objects stays, watches bring their removals, other routers are told nothing of the kind, the event ListIncomplete says so, and it is read again after 10 s.

--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -85,5 +85,15 @@
     EXPECT_TRUE(waitUntilServing(3));
 }
 
+TEST_P(OddEntryTest, RouterThatListsAgainKeepsServing)
+{
+    startBeside(entryInTheMiddle(), 1);
+    expectService();
+    m_store.dropHistory();
+    m_store.remove("servers", "a2");
+    EXPECT_TRUE(waitUntilServing(2));
+    EXPECT_EQ(status(makeRequest("/last/x", "request-again")), 200);
+}
+
 INSTANTIATE_TEST_SUITE_P(Names, OddEntryTest, ::testing::ValuesIn(oddNames()),
                          [](const auto &info) { return info.param.label; });
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -122,6 +122,9 @@
     EventInfo{ EventId::KnownStatesHeld, "KnownStatesHeld", EventLevel::Info,
         "A restored store lacks newer states that are known, which stay in force until they are written again, or for "
         "a limited time; fields: kind, epoch, objects that are kept so from now on." },
+    EventInfo{ EventId::ListIncomplete, "ListIncomplete", EventLevel::Warn,
+        "A list of the store's objects could not be read to its end, as its pages didn't go on. What was known of the "
+        "others stays, and it is read again after 10 s; fields: kind, pages, objects read." },
     EventInfo{ EventId::ConfigurationApplied, "ConfigurationApplied", EventLevel::Info,
         "A configuration is in force, or was older than the one in force; fields: number, revision." },
     EventInfo{ EventId::UpstreamRegistration, "UpstreamRegistration", EventLevel::Info,
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -69,6 +69,7 @@
     RelayFailed = 5007,
     StoreRestored = 5008,
     KnownStatesHeld = 5009,
+    ListIncomplete = 5010,
     ConfigurationApplied = 5101,
     UpstreamRegistration = 5102,
     UpstreamsListed = 5103,
--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -25,6 +25,9 @@
 // Minimum time between two lists for a missed change, which bounds the calls to a store whose
 // revisions have gaps.
 constexpr kernel::Duration missedChangeListInterval = std::chrono::seconds(1);
+// Well above the number of pages of any list.
+constexpr std::size_t maxListPages = 1000;
+constexpr kernel::Duration incompleteListInterval = std::chrono::seconds(10);
 constexpr kernel::Duration holdCheckInterval = std::chrono::milliseconds(100);
 
 kernel::Error supersededError()
@@ -44,9 +47,11 @@
     case ListReason::ChangeMissed:
         return "change_missed";
     case ListReason::StoreRestored:
+        return "store_restored";
+    case ListReason::Incomplete:
         break;
     }
-    return "store_restored";
+    return "incomplete";
 }
 
 KindWatcher::KindWatcher(const StoreReader &reader, WatchCoordinator &coordinator,
@@ -133,16 +138,16 @@
         attempt.position = page.position;
         attempt.relayed = page.relayed;
     }
-    attempt.objects.insert(attempt.objects.end(), page.objects.begin(), page.objects.end());
-    if (page.relayed.empty()) {
-        for (const StoredObject &object : page.objects)
+    for (const StoredObject &object : page.objects) {
+        attempt.objects.insert_or_assign(object.name, object);
+        if (page.relayed.empty())
             m_coordinator.recordChange(object.position);
     }
-    if (!page.hasMore || !page.last) {
+    if (!page.hasMore || !advance(attempt, page)) {
+        m_incomplete = page.hasMore;
         completeList(number, page.position);
         return;
     }
-    attempt.after = page.last;
     // The store responds, so the other attempts are not needed.
     std::erase_if(m_listAttempts, [number](const auto &other) { return other.first != number; });
     m_newestAttempt = number;
@@ -151,9 +156,37 @@
     requestPage(number, Connection::MayBeKept);
 }
 
+// Moves on to the next page. Returns false if the store has named none that was not read before.
+bool KindWatcher::advance(ListAttempt &attempt, const ObjectPage &page)
+{
+    if (!page.last || attempt.cursors.size() >= maxListPages
+        || !attempt.cursors.insert(*page.last).second)
+        return false;
+    attempt.after = page.last;
+    return true;
+}
+
+// Adds what is known of objects that an incomplete list lacks.
+void KindWatcher::addKnownObjects(ListAttempt &attempt) const
+{
+    kernel::logEvent(kernel::EventId::ListIncomplete, { { "kind", m_kind },
+                                                        { "pages", attempt.cursors.size() + 1 },
+                                                        { "objects", attempt.objects.size() } });
+    for (StoredObject &object : m_mirror.objects())
+        attempt.objects.try_emplace(object.name, std::move(object));
+}
+
+void KindWatcher::scheduleListForTheRest()
+{
+    m_restTimer = kernel::Timer(m_scheduler, incompleteListInterval, [this] {
+        if (m_watch.isOpen() || m_pausing)
+            listAgain(ListReason::Incomplete);
+    });
+}
+
 void KindWatcher::completeList(AttemptNumber number, kernel::StorePosition storePosition)
 {
-    const ListAttempt attempt = std::move(m_listAttempts.at(number));
+    ListAttempt attempt = std::move(m_listAttempts.at(number));
     endCalls();
     if (liesBehind(attempt.relayed)) {
         onFailure({ kernel::ResultCode::PlatformUnreachable, "the relay lags behind" });
@@ -171,7 +204,15 @@
     }
     logListed(attempt.objects.size(), knownBefore);
     onSuccess();
-    applyList(attempt.objects, fromRelay ? m_includes : attempt.position, knownBefore);
+    m_restTimer.cancel();
+    if (m_incomplete) {
+        addKnownObjects(attempt);
+        scheduleListForTheRest();
+    }
+    std::vector<StoredObject> objects;
+    for (auto &[name, object] : attempt.objects)
+        objects.push_back(std::move(object));
+    applyList(objects, fromRelay ? m_includes : attempt.position, knownBefore);
     if (fromRelay)
         m_coordinator.recordRelayed(attempt.relayed);
     else
@@ -241,7 +282,8 @@
 
 std::optional<RelayedKnowledge> KindWatcher::knowledge() const
 {
-    if (!m_mirror.isListed() || m_position < m_includes || m_position.epoch < m_coordinator.epoch())
+    if (!m_mirror.isListed() || m_incomplete || m_position < m_includes
+        || m_position.epoch < m_coordinator.epoch())
         return std::nullopt;
     return RelayedKnowledge{ .known = m_position,
                              .changedAt = m_mirror.changedAt(),
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -42,6 +43,8 @@
     ChangeMissed,
     /// The store was restored from an older copy.
     StoreRestored,
+    /// The list before could not be read to its end.
+    Incomplete,
 };
 
 std::string_view toString(ListReason reason);
@@ -49,7 +52,9 @@
 /// Tracks the objects of one kind in the store: lists them, then watches for changes from the
 /// list's position. Silence does not count as news: a call that is not answered in time is given
 /// up, and the objects are listed again, also when the store's position shows a change that no
-/// watch has returned, or a new epoch. Failures are retried without a limit.
+/// watch has returned, or a new epoch. Failures are retried without a limit. A list that makes no
+/// progress is not taken for the whole: what is known of objects that it lacks stays in force, and
+/// it is read again after some time.
 class KindWatcher
 {
 public:
@@ -104,8 +109,10 @@
     {
         StoreCall call;
         kernel::Instant startedAt{};
-        std::vector<StoredObject> objects;
+        std::map<std::string, StoredObject> objects;
         ListCursor after;
+        // Where the pages read so far have ended.
+        std::set<std::string> cursors;
         kernel::StorePosition position;
         // Set if a relay answered.
         std::map<std::string, RelayedKnowledge> relayed;
@@ -115,7 +122,10 @@
     void startListAttempt();
     void requestPage(AttemptNumber number, Connection connection);
     void onPage(AttemptNumber number, const kernel::Completion<ObjectPage> &outcome);
+    static bool advance(ListAttempt &attempt, const ObjectPage &page);
     void completeList(AttemptNumber number, kernel::StorePosition storePosition);
+    void addKnownObjects(ListAttempt &attempt) const;
+    void scheduleListForTheRest();
     void endCalls();
     WatchOptions options() const;
     bool liesBehind(const std::map<std::string, RelayedKnowledge> &relayed) const;
@@ -176,6 +186,9 @@
     bool m_pausing = false;
     bool m_reachable = false;
     bool m_listedOnce = false;
+    // Whether the last list could not be read to its end.
+    bool m_incomplete = false;
+    kernel::Timer m_restTimer;
     kernel::Instant m_shortWatchesUntil{};
     kernel::Instant m_callStartedAt{};
     kernel::Instant m_lastWatchAt{};
--- a/src/storewatch/tests/kindwatcher_tests.cpp
+++ b/src/storewatch/tests/kindwatcher_tests.cpp
@@ -36,7 +36,7 @@
         : m_coordinator(m_clock.scheduler())
         , m_watcher(m_reader, m_coordinator, m_clock.scheduler(), kernel::Random(1), "things",
                     { 300ms },
-                    { [this](const std::vector<StoredObject> &) { ++m_listCount; },
+                    { [this](const std::vector<StoredObject> &objects) { onList(objects); },
                       [this](const StoredObject &object) { m_changes.push_back(object.name); },
                       [this](bool reachable) { m_reportedReachability.push_back(reachable); } })
     {
@@ -68,6 +68,14 @@
         };
     }
 
+    void onList(const std::vector<StoredObject> &objects)
+    {
+        ++m_listCount;
+        m_listed.clear();
+        for (const StoredObject &object : objects)
+            m_listed.push_back(object.name);
+    }
+
     // Returns the callback of the newest call to the kind. It is copied, as a response may start
     // the next call, which reallocates the calls.
     kernel::Callback<ObjectPage> newestCallback(std::string_view kind) const
@@ -94,11 +102,21 @@
     {
         return page(revision, { { .name = name, .position = position(revision) } });
     }
+    // A page with an object that another page is to follow; it tells this name as its last one.
+    static ObjectPage firstPage(const std::string &name, int revision, const ListCursor &last)
+    {
+        ObjectPage result = change(name, revision);
+        result.hasMore = true;
+        result.last = last;
+        return result;
+    }
     const std::string &lastQuestion() const { return m_calls.back().question; }
 
     kernel::ManualScheduler m_clock;
     std::vector<Call> m_calls;
     int m_listCount = 0;
+    // Names of the objects of the last list.
+    std::vector<std::string> m_listed;
     std::vector<std::string> m_changes;
     std::vector<bool> m_reportedReachability;
     StoreReader m_reader = makeReader();
@@ -178,10 +196,7 @@
 
 TEST_F(KindWatcherTest, ReadsAllPages)
 {
-    ObjectPage first = change("m", 7);
-    first.hasMore = true;
-    first.last = "m";
-    respond(first);
+    respond(firstPage("m", 7, "m"));
     EXPECT_EQ(lastQuestion(), "list after m");
     EXPECT_EQ(m_listCount, 0);
     respond(page(8));
@@ -190,6 +205,77 @@
         << "changes made between the pages are returned";
 }
 
+TEST_F(KindWatcherTest, ListGoesOnAfterObjectsThatCannotBeRead)
+{
+    ObjectPage unreadable = firstPage("m", 7, "odd");
+    unreadable.objects.clear();
+    respond(unreadable);
+    EXPECT_EQ(lastQuestion(), "list after odd");
+    respond(change("z", 9));
+    EXPECT_EQ(m_listed, std::vector<std::string>{ "z" });
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 20000") << "from the first page's position";
+}
+
+TEST_F(KindWatcherTest, ListThatMakesNoProgressEnds)
+{
+    respond(firstPage("m", 7, "m"));
+    respond(firstPage("m", 7, "m"));
+    EXPECT_EQ(m_listed, std::vector<std::string>{ "m" }) << "what was read is in force";
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 20000");
+    EXPECT_EQ(callCount("things"), 3U);
+}
+
+TEST_F(KindWatcherTest, ListWhosePagesComeRoundAgainEnds)
+{
+    respond(firstPage("m", 7, "m"));
+    respond(firstPage("z", 7, "z"));
+    respond(firstPage("m", 8, "m"));
+    EXPECT_EQ(m_listed, (std::vector<std::string>{ "m", "z" })) << "each object once";
+    EXPECT_EQ(callCount("things"), 4U);
+}
+
+TEST_F(KindWatcherTest, ListWithoutEndEnds)
+{
+    for (int i = 0; m_listCount == 0 && i < 5000; ++i) {
+        const std::string name = std::to_string(i);
+        respond(firstPage(name, 7, name));
+    }
+    EXPECT_EQ(m_listCount, 1);
+    EXPECT_EQ(lastQuestion(), "watch after 7 for 20000");
+}
+
+TEST_F(KindWatcherTest, ObjectsThatAnIncompleteListLacksStay)
+{
+    respond(page(7, { { .name = "a", .position = position(5) },
+                      { .name = "m", .position = position(6) },
+                      { .name = "z", .position = position(7) } }));
+    failCall();
+    m_clock.advance(100ms);
+    ASSERT_EQ(lastQuestion(), "list");
+    respond(firstPage("a", 8, std::nullopt));
+    EXPECT_EQ(m_listed, (std::vector<std::string>{ "a", "m", "z" }));
+    EXPECT_EQ(m_watcher.knowledge(), std::nullopt) << "other routers are not told so";
+    StoredObject removed{ .name = "m", .position = position(9), .removed = true };
+    m_clock.advance(300ms);
+    respond(page(9, { removed }));
+    EXPECT_EQ(m_changes, std::vector<std::string>{ "m" }) << "removals are heard";
+}
+
+TEST_F(KindWatcherTest, IncompleteListIsReadAgain)
+{
+    respond(firstPage("a", 7, std::nullopt));
+    const std::size_t calls = callCount("things");
+    m_clock.advance(9s);
+    EXPECT_EQ(callCount("things"), calls) << "no sooner than after 10 s";
+    m_clock.advance(1s);
+    ASSERT_EQ(lastQuestion(), "list");
+    respond(change("z", 8));
+    EXPECT_EQ(m_listed, std::vector<std::string>{ "z" }) << "a whole list again";
+    EXPECT_NE(m_watcher.knowledge(), std::nullopt);
+    m_clock.advance(15s);
+    EXPECT_NE(lastQuestion(), "list");
+}
+
 // A watch that starts just as the store drops its record of past changes may return no
 // changes until its timeout.
 TEST_F(KindWatcherTest, ShortensWatchesAfterFailure)
