Fix: writes go to the object that they name, whatever the name holds

What could be seen: a write of an object's spec or status, or its removal, was refused, or met another object, where the name holds a character with a meaning in a path: progress of a roll-out of the service "a/status" replaced the progress of "a", a report of a VM that is gone was never removed. Seen at the store's client only, in no deployment.

Cause: as with lists: names went into the path as they were.

Change: a name is one encoded segment of the path. Empty names, "." and ".." can't be one, as servers drop or resolve them, so such a write isn't sent and fails at once with PlatformProtocol.

--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "platform/storeclient.h"
 #include "platform/tests/routerfixture.h"
 #include "router/tests/oddnames.h"
 
@@ -12,6 +13,7 @@
 using namespace acaciasail::platform::tests;
 using namespace acaciasail::router::testing;
 using platform::testing::makeConfigurationSpec;
+using Json = nlohmann::json;
 
 namespace {
 
@@ -19,7 +21,7 @@
 // reports and some repeats.
 constexpr std::size_t maxCallsToServe = 60;
 
-const nlohmann::json foreignSpec{ { "Service", 7 }, { "Note", "of another writer" } };
+const Json foreignSpec{ { "Service", 7 }, { "Note", "of another writer" } };
 
 // Runners before and after the entry, each the only one of its service.
 class OddEntryTest : public RouterTest, public ::testing::WithParamInterface<OddName>
@@ -54,6 +56,58 @@
     }
 };
 
+// The calls that write one object, at a store with another object whose name is a part of a path.
+class OddNameWriteTest : public RouterTest, public ::testing::WithParamInterface<OddName>
+{
+protected:
+    OddNameWriteTest()
+        : m_storeClient(
+            [this](const http::ClientRequest &request, http::ClientHandlers handlers) {
+                return m_client.send(request, std::move(handlers));
+            },
+            m_store.endpoint())
+    {
+        m_store.put("things", name(), 1);
+        m_store.put("things", "a", 1);
+        m_store.put("things", "status", 1);
+    }
+
+    const std::string &name() const { return GetParam().name; }
+    // These are resolved or dropped in paths.
+    bool isSegment() const { return !name().empty() && name() != "." && name() != ".."; }
+
+    template<class Value, class Function>
+    kernel::ResultCode codeOf(Function write)
+    {
+        std::optional<kernel::ResultCode> code;
+        write([&](const kernel::Completion<Value> &outcome) {
+            code = outcome.ok() ? kernel::ResultCode::Ok : outcome.error().code;
+        });
+        m_loop.runUntil([&] { return code.has_value(); }, waitTimeout);
+        return code.value_or(kernel::ResultCode::PlatformUnreachable);
+    }
+
+    kernel::ResultCode expectedCode() const
+    {
+        return isSegment() ? kernel::ResultCode::Ok : kernel::ResultCode::PlatformProtocol;
+    }
+
+    void expectOthersUntouched()
+    {
+        for (const std::string other : { "a", "status" }) {
+            const auto object = m_store.object("things", other);
+            EXPECT_EQ(object["Spec"], 1) << other;
+            EXPECT_TRUE(object["Status"].is_null()) << other;
+        }
+        EXPECT_EQ(m_store.malformedCalls(), 0U);
+        EXPECT_EQ(m_store.calls(), isSegment() ? 1U : 0U);
+    }
+
+    platform::StoreClient m_storeClient;
+};
+
+const std::string writtenBody = R"({"Metadata":{},"Spec":2,"Status":3})";
+
 } // namespace
 
 TEST_P(OddEntryTest, RouterThatStartsWhileItEndsAPageServes)
@@ -95,5 +149,38 @@
     EXPECT_EQ(status(makeRequest("/last/x", "request-again")), 200);
 }
 
+TEST_P(OddNameWriteTest, SpecIsReplaced)
+{
+    EXPECT_EQ(codeOf<storewatch::StoredObject>([&](auto callback) {
+                  m_storeClient.replace("things", name(), writtenBody, callback);
+              }),
+              expectedCode());
+    EXPECT_EQ(m_store.object("things", name())["Spec"], isSegment() ? 2 : 1);
+    expectOthersUntouched();
+}
+
+TEST_P(OddNameWriteTest, StatusIsReplaced)
+{
+    EXPECT_EQ(codeOf<storewatch::StoredObject>([&](auto callback) {
+                  m_storeClient.putStatus("things", name(), writtenBody, callback);
+              }),
+              expectedCode());
+    EXPECT_EQ(m_store.object("things", name())["Status"], isSegment() ? Json(3) : Json());
+    expectOthersUntouched();
+}
+
+TEST_P(OddNameWriteTest, ObjectIsRemoved)
+{
+    const kernel::Revision revision(m_store.object("things", name())["Metadata"]["Revision"]);
+    EXPECT_EQ(codeOf<kernel::Done>([&](auto callback) {
+                  m_storeClient.remove("things", name(), revision, callback);
+              }),
+              expectedCode());
+    EXPECT_EQ(m_store.object("things", name()).is_null(), isSegment());
+    expectOthersUntouched();
+}
+
+INSTANTIATE_TEST_SUITE_P(Names, OddNameWriteTest, ::testing::ValuesIn(oddNames()),
+                         [](const auto &info) { return info.param.label; });
 INSTANTIATE_TEST_SUITE_P(Names, OddEntryTest, ::testing::ValuesIn(oddNames()),
                          [](const auto &info) { return info.param.label; });
