Fix: an upstream, workspace or model whose name can't be sent in a header is not used

What could be seen: an entry with a sound registration under a name with line ends was taken for an upstream. Each request to it names it in X-Expect-Instance, so the rest of the name was sent as further headers, or as a request of its own that no caller had sent. Seen in tests, in no deployment.

Cause: these names were put into headers as they were, and a name with blanks at its ends is read as another one.

All other bytes are sent as they are: an upstream named with &, +, #, %, quotes, letters beyond ASCII or 4,000 bytes serves under that name.

--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -1,7 +1,9 @@
 // Entries of another writer in the lists that a router reads from the store, under names of their
 // own.
 
+#include <algorithm>
 #include <string>
+#include <vector>
 
 #include <gtest/gtest.h>
 
@@ -56,6 +58,24 @@
     }
 };
 
+// A sound registration under the name, beside the other runners.
+class OddUpstreamTest : public OddEntryTest
+{
+protected:
+    OddUpstreamTest() { addRunner(GetParam().name, "odd"); }
+
+    // A header carries any bytes but control bytes, and no blanks at its ends; a name that is empty
+    // or no UTF-8 names no upstream.
+    bool isUsable() const
+    {
+        static const std::vector<std::string> unusable{
+            "BlankAtBothEnds", "LineEnds",  "ControlBytes", "Nul",  "NoUtf8",
+            "NoUtf8AfterUtf8", "Surrogate", "LastBytes",    "Empty"
+        };
+        return std::ranges::find(unusable, GetParam().label) == unusable.end();
+    }
+};
+
 // The calls that write one object, at a store with another object whose name is a part of a path.
 class OddNameWriteTest : public RouterTest, public ::testing::WithParamInterface<OddName>
 {
@@ -149,6 +169,22 @@
     EXPECT_EQ(status(makeRequest("/last/x", "request-again")), 200);
 }
 
+TEST_P(OddUpstreamTest, IsServedByItsOwnNameOrNotUsed)
+{
+    const platform::testing::RunnerStandin &odd = *m_runners.back();
+    m_store.setPageObjects(1);
+    start(makeConfigurationSpec(1, { { "odd", "unsafe", "odd" }, { "last", "unsafe", "last" } }));
+    ASSERT_TRUE(waitUntilServing(isUsable() ? 4 : 3));
+    EXPECT_EQ(status(makeRequest("/odd/x", "request-odd")), isUsable() ? 200 : 503);
+    EXPECT_EQ(status(makeRequest("/last/x", "request-last")), 200);
+    EXPECT_EQ(odd.requestCount(), isUsable() ? 1 : 0);
+    for (const platform::testing::ReceivedRequest &received : odd.receivedRequests())
+        EXPECT_EQ(received.target + " " + received.body, "/odd/x body");
+}
+
+INSTANTIATE_TEST_SUITE_P(Names, OddUpstreamTest, ::testing::ValuesIn(oddNames()),
+                         [](const auto &info) { return info.param.label; });
+
 TEST_P(OddNameWriteTest, SpecIsReplaced)
 {
     EXPECT_EQ(codeOf<storewatch::StoredObject>([&](auto callback) {
--- a/src/framework/http/tests/message_tests.cpp
+++ b/src/framework/http/tests/message_tests.cpp
@@ -22,6 +22,17 @@
     EXPECT_EQ(queryParameter("a=%zz", "a"), "%zz");
 }
 
+TEST(Message, TellsWhatCanBeTheValueOfAHeader)
+{
+    for (const std::string text : { "", "a", "a b", "a\tb", "&+#%?/=;\"", "\xc3\xbc", "\xff" })
+        EXPECT_TRUE(isFieldValue(text)) << text;
+    for (const std::string &text :
+         { std::string(" a"), std::string("a "), std::string("\ta"), std::string("a\t"),
+           std::string("a\rb"), std::string("a\nb"), std::string("a\0b", 3), std::string("\x7f"),
+           std::string("\x01") })
+        EXPECT_FALSE(isFieldValue(text)) << text;
+}
+
 TEST(Message, EncodesAllButUnreservedCharacters)
 {
     EXPECT_EQ(percentEncode("aZ09-._~"), "aZ09-._~");
