Fix: a request whose head would be read as another one is not sent

What could be seen: a path or header with a line end, handed to the HTTP client, went out as further headers or requests.

Cause: the client wrote a request's head as it was given.

Change: a method, path, host or header with a byte that ends its line or its part fails with UpstreamConnectFailed before anything is sent. Tabs in values and bytes beyond ASCII are sent as before.

Evidence: eight such requests on the wire, red without the change.

--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -37,6 +37,34 @@
     return head + "\r\n";
 }
 
+bool hasControlByte(std::string_view text)
+{
+    return std::ranges::any_of(text, [](unsigned char c) { return std::iscntrl(c) != 0; });
+}
+
+bool hasBlank(std::string_view text)
+{
+    return text.find(' ') != std::string_view::npos;
+}
+
+// Returns whether a request's head would be read as it was meant: no part of it ends a line, or the
+// part that it stands in.
+bool isSendable(const ClientRequest &request)
+{
+    for (const std::string_view part :
+         { std::string_view(request.method), std::string_view(request.path),
+           std::string_view(request.host) }) {
+        if (hasControlByte(part) || hasBlank(part))
+            return false;
+    }
+    return std::ranges::all_of(request.headers, [](const Header &header) {
+        std::string value = header.value;
+        std::erase(value, '\t');
+        return !hasControlByte(value) && !hasControlByte(header.name) && !hasBlank(header.name)
+               && header.name.find(':') == std::string::npos;
+    });
+}
+
 // The idle time that an upstream states in Keep-Alive, if any.
 std::optional<kernel::Duration> advertisedIdleTime(const Headers &headers)
 {
@@ -457,12 +485,16 @@
 
 std::unique_ptr<Exchange> Client::send(const ClientRequest &request, ClientHandlers handlers)
 {
-    auto address = kernel::capture([&] { return toSocketAddress(request.endpoint); });
-    if (!address) {
-        kernel::Error error{ kernel::ResultCode::UpstreamConnectFailed, address.error().message };
+    const auto fail = [&](const std::string &message) {
+        const kernel::Error error{ kernel::ResultCode::UpstreamConnectFailed, message };
         return std::make_unique<NoExchange>(
             m_impl->loop.scheduler(), [onEnd = std::move(handlers.onEnd), error] { onEnd(error); });
-    }
+    };
+    auto address = kernel::capture([&] { return toSocketAddress(request.endpoint); });
+    if (!address)
+        return fail(address.error().message);
+    if (!isSendable(request))
+        return fail("the request's head has bytes that can't be sent");
     auto state
         = std::make_shared<ExchangeState>(m_impl->loop, m_impl->idle, request, std::move(handlers));
     auto handle = std::make_unique<ExchangeHandle>(state);
--- a/src/framework/http/internal/client.h
+++ b/src/framework/http/internal/client.h
@@ -90,7 +90,9 @@
     Client(const Client &) = delete;
     Client &operator=(const Client &) = delete;
 
-    /// Sends a request; the caller keeps the exchange until onEnd.
+    /// Sends a request; the caller keeps the exchange until onEnd. A request whose head can't be
+    /// sent as it is (a blank or a control byte in the path, a line end in a header) fails with
+    /// UpstreamConnectFailed.
     std::unique_ptr<Exchange> send(const ClientRequest &request, ClientHandlers handlers);
 
     /// Opens a connection without a request and keeps it for the next one; destroying the result
--- a/src/framework/http/tests/clientfaults_tests.cpp
+++ b/src/framework/http/tests/clientfaults_tests.cpp
@@ -312,3 +312,49 @@
         EXPECT_EQ(outcome->error().code, kernel::ResultCode::UpstreamConnectFailed);
     }
 }
+
+TEST_F(ClientFaults, ARequestWhoseHeadWouldBeReadAsAnotherIsNotSent)
+{
+    const auto requestWith = [this](auto change) {
+        ClientRequest request{ .endpoint = m_server.endpoint() };
+        change(request);
+        return request;
+    };
+    const std::string smuggled = "/a HTTP/1.1\r\nx: y\r\n\r\nGET /b";
+    for (const ClientRequest &request :
+         { requestWith([&](ClientRequest &one) { one.path = smuggled; }),
+           requestWith([](ClientRequest &one) { one.path = "/a b"; }),
+           requestWith([](ClientRequest &one) { one.path = std::string("/a\0", 3); }),
+           requestWith([](ClientRequest &one) { one.method = "GET /x"; }),
+           requestWith([](ClientRequest &one) { one.host = "a\r\nx: y"; }),
+           requestWith([](ClientRequest &one) {
+               one.headers = { { "x-id", "7\r\nx: y" } };
+           }),
+           requestWith([](ClientRequest &one) {
+               one.headers = { { "x-id", "7\n" } };
+           }),
+           requestWith([](ClientRequest &one) {
+               one.headers = { { "x-id: 7\r\nx", "y" } };
+           }) }) {
+        std::optional<kernel::Completion<ClientResponse>> response;
+        m_client.fetch(request, [&](kernel::Completion<ClientResponse> outcome) {
+            response = std::move(outcome);
+        });
+        m_loop.runUntil([&] { return response.has_value(); }, patience);
+        ASSERT_TRUE(response.has_value());
+        ASSERT_FALSE(response->ok());
+        EXPECT_EQ(response->error().code, kernel::ResultCode::UpstreamConnectFailed);
+    }
+    EXPECT_EQ(m_server.connections(), 0U);
+}
+
+TEST_F(ClientFaults, TabsAndBytesBeyondAsciiAreSent)
+{
+    ClientRequest request{ .endpoint = m_server.endpoint() };
+    request.path = "/\xc3\xbc\xff?\"<>";
+    request.headers = { { "x-id", "a\tb \xc3\xbc\xff " } };
+    m_exchange = m_client.send(request, {});
+    const std::string head = m_server.awaitRequest();
+    EXPECT_TRUE(head.starts_with("GET /\xc3\xbc\xff?\"<> HTTP/1.1\r\n")) << head;
+    EXPECT_NE(head.find("x-id: a\tb \xc3\xbc\xff \r\n"), std::string::npos) << head;
+}
