Fix: the command-line tool asks for a request's id as it was given

What operators saw: `explain` of an id with &, +, # or % asked the daemons for another id, so it told nothing, or of another request; with a blank or a line end it sent what is no request.

Cause: the id went into the query as it was.

Change and evidence: it is encoded. Red without it for six ids (a reading of ctl_tests.cpp's stand-in daemon).

--- a/src/app/ctl/daemoncommands.cpp
+++ b/src/app/ctl/daemoncommands.cpp
@@ -200,7 +200,7 @@
     if (const auto missing = session.requireDaemons())
         return *missing;
     const std::string &id = session.options().arguments[1];
-    const auto answers = ask(session, "GET", "/admin/explain?request=" + id);
+    const auto answers = ask(session, "GET", "/admin/explain?request=" + http::percentEncode(id));
     std::vector<Json> events;
     for (const DaemonAnswer &answer : answers) {
         if (!answer.json || !answer.json->contains("events"))
--- a/src/app/ctl/tests/ctl_tests.cpp
+++ b/src/app/ctl/tests/ctl_tests.cpp
@@ -204,6 +204,24 @@
     EXPECT_EQ(run({ "status" }), ExitCode::Unreachable);
 }
 
+TEST_F(CtlTest, ExplainAsksForTheIdAsItWasGiven)
+{
+    std::vector<std::string> asked;
+    const auto server = kernel::capture([&] {
+        return http::Server::listen(
+            loop, { .listen = anyPort },
+            [&asked](const http::ServerRequest &request, const auto &responder) {
+                asked.push_back(http::queryParameter(request.query, "request").value_or("none"));
+                responder->send(200, {}, R"({"events":[]})");
+            });
+    });
+    options.daemons = { server.value()->endpoint() };
+    const std::vector<std::string> ids{ "r&request=x", "r+1", "r#1", "r%41", "r 1", "r\r\nx: y" };
+    for (const std::string &id : ids)
+        EXPECT_EQ(run({ "explain", id }), ExitCode::Refused) << "no event is known";
+    EXPECT_EQ(asked, ids);
+}
+
 TEST_F(CtlTest, BillsAreCountedOnceOverBatches)
 {
     const std::string bill
