Fix: a service of the daemon gets the target that the caller wrote

What could be seen: a call of a plain service through the daemon with an escaped character in its path reached the service as another one: %2F as a slash, %3F as the start of a query, %20 as a blank, so that the line was no request, and %0D%0A as a line end, so that a caller could write headers and requests of its own to the service.

Cause: the daemon sent the path as the HTTP server normalises it, which is decoded, and didn't encode it again.

Change: the caller's own target is sent. Which service is meant, and whether the workspace may use it, is still read from the normalised path; so is the fingerprint by which repeats are known.

--- a/src/gateway/internal/serviceflow.cpp
+++ b/src/gateway/internal/serviceflow.cpp
@@ -70,6 +70,7 @@
     BOOST_LEAF_AUTO(timeout, readTimeout(request.headers));
     call.nonIdempotent = call.service.nonIdempotent && !isSafeMethod(request.method);
     call.deadline = now + timeout.value_or(call.service.timeout);
+    call.target = request.target;
     call.request = request;
     return call;
 }
@@ -159,8 +160,7 @@
     spec.idempotent = !m_call.nonIdempotent;
     spec.deadline = m_call.deadline;
     spec.method = m_call.request.method;
-    spec.path
-        = m_call.request.path + (m_call.request.query.empty() ? "" : "?" + m_call.request.query);
+    spec.path = m_call.target;
     spec.headers = forwardedHeaders(m_call.request.headers);
     spec.body = m_call.request.body;
     spec.fingerprint = m_fingerprint;
--- a/src/gateway/internal/serviceflow.h
+++ b/src/gateway/internal/serviceflow.h
@@ -20,6 +20,9 @@
     /// The call must not be sent more than once.
     bool nonIdempotent = false;
     kernel::Instant deadline;
+    /// Path and query that the service gets. They are the caller's own: the normalised path has its
+    /// escaped characters decoded, so it isn't one that could be sent.
+    std::string target;
     http::ServerRequest request;
 };
 
