--- a/src/app/router/tests/crashingrequest_tests.cpp
+++ b/src/app/router/tests/crashingrequest_tests.cpp
@@ -188,7 +188,7 @@
     int sendCrashing(std::size_t router)
     {
         const std::string own = std::to_string(++m_crashingRequests);
-        return sendRequest(router, crashingBody + own, { "system", "bad", "own" + own });
+        return sendRequest(router, crashingBody + own, { "system", m_badPart, "own" + own });
     }
 
     int sendSound(std::size_t router)
@@ -256,6 +256,7 @@
     }
 
     int m_crashingRequests = 0;
+    std::string m_badPart = "bad";
 };
 
 } // namespace
@@ -346,6 +347,12 @@
     checkNotSentAgain(std::nullopt);
 }
 
+TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainIfItsNameIsNoText)
+{
+    m_badPart = "\"bad\xff\\";
+    checkNotSentAgain(std::nullopt);
+}
+
 TEST_P(CrashingPartOnLoopbackTest, IsNotSentAgainIfRunnersCrashAfterHead)
 {
     checkNotSentAgain(0);
--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -218,5 +218,17 @@
 
 INSTANTIATE_TEST_SUITE_P(Names, OddNameWriteTest, ::testing::ValuesIn(oddNames()),
                          [](const auto &info) { return info.param.label; });
+TEST_P(OddEntryTest, EntriesInAllListsStopNothing)
+{
+    for (const std::string kind :
+         { "config", "rollouts", "evacuations", "crashreports", "limitreports" }) {
+        m_store.put(kind, "a", foreignSpec);
+        m_store.put(kind, entryInTheMiddle(), foreignSpec);
+        m_store.put(kind, "z", foreignSpec);
+    }
+    startBeside(entryInTheMiddle(), 1);
+    expectService();
+}
+
 INSTANTIATE_TEST_SUITE_P(Names, OddEntryTest, ::testing::ValuesIn(oddNames()),
                          [](const auto &info) { return info.param.label; });
--- a/src/app/router/tests/storerelays_tests.cpp
+++ b/src/app/router/tests/storerelays_tests.cpp
@@ -7,6 +7,7 @@
 #include <gtest/gtest.h>
 
 #include "platform/names.h"
+#include "router/tests/oddnames.h"
 #include "router/tests/storerouters.h"
 
 using namespace acaciasail;
@@ -119,6 +120,37 @@
     EXPECT_EQ(missedChanges(usualDelay), "");
 }
 
+// Names go on from relays to the routers that read from them.
+TEST_F(StoreRelaysTest, ObjectsUnderOddNamesReachAllRouters)
+{
+    m_store.setPageObjects(2);
+    for (const OddName &odd : oddNames()) {
+        m_store.put("servers", "a" + odd.name, 7);
+        m_store.put("evacuations", odd.name, nlohmann::json::object());
+    }
+    startRouters();
+    const auto readsFromRelay
+        = [](const auto &router) { return metric(*router, "acaciasail_relay_calls_sent") > 0; };
+    EXPECT_GT(std::ranges::count_if(m_routers, readsFromRelay), 0);
+    std::string missed;
+    for (const OddName &odd : oddNames()) {
+        const std::string id = "z" + odd.name;
+        m_store.put("servers", id, platform::testing::makeRunnerSpec("desk", { "127.0.0.1", 1 }));
+    }
+    for (const std::string name : { "z&", "za+b", "za#b", "z%", "za b", "z\xc3\xbc", "za\"'`\\b" })
+        missed += missingAfter(usualDelay, [&](const auto &directory) {
+            return directory.upstreams.contains(kernel::UpstreamId(name));
+        });
+    EXPECT_EQ(missed, "");
+    EXPECT_EQ(missedChanges(usualDelay), "");
+    for (const OddName &odd : oddNames())
+        m_store.remove("servers", "z" + odd.name);
+    EXPECT_EQ(
+        missingAfter(usualDelay, [](const auto &directory) { return isGone(directory, "z&"); }),
+        "");
+    EXPECT_EQ(m_store.malformedCalls(), 0U);
+}
+
 TEST_F(StoreRelaysTest, ChangesReachAllRoutersAfterRelaysWereKilled)
 {
     startRouters();
