--- a/platform/jsonfields.h
+++ b/src/framework/json/internal/fieldreader.h
@@ -1,23 +1,18 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
-#include <string_view>
-#include <vector>
 
 #include <nlohmann/json.hpp>
 
-#include "kernel/kernel.h"
-
-namespace acaciasail::platform {
+namespace acaciasail::json {
 
 /// Reads typed members of a JSON object and records the first error: a member that is missing or
 /// has the wrong type.
-class JsonFieldReader
+class FieldReader
 {
 public:
-    explicit JsonFieldReader(const nlohmann::json &json)
+    explicit FieldReader(const nlohmann::json &json)
         : m_json(json)
     {
         if (!json.is_object())
@@ -95,44 +90,4 @@
     std::string m_error;
 };
 
-/// Returns a PlatformProtocol error with this message.
-boost::leaf::error_id protocolError(const std::string &message);
-
-/// Parses a JSON text; returns a discarded value if the text is not JSON, or is nested too deeply
-/// for functions that call themselves for each level. A text with invalid UTF-8 is parsed with all
-/// its non-ASCII bytes replaced by '?', so that one object with invalid bytes doesn't make the
-/// others unreadable.
-nlohmann::json parseJson(std::string_view text);
-
-/// Returns the text of a member's value in the text of a JSON object, which may hold what can't be
-/// parsed; empty if there is no such member.
-std::string_view memberText(std::string_view object, std::string_view name);
-
-/// Returns the bytes of a JSON string, which need not be UTF-8. Returns nothing if the text is no
-/// JSON string.
-std::optional<std::string> parseStringBytes(std::string_view text);
-
-bool isUtf8(std::string_view text);
-
-/// An element of a list.
-struct ListElement
-{
-    /// A discarded value if the text can't be parsed.
-    nlohmann::json value;
-    /// The element's text; empty if the whole list could be parsed.
-    std::string_view text;
-};
-
-/// A JSON object one of whose members is a list.
-struct ParsedList
-{
-    /// The object without the list's elements; a discarded value if it is not JSON.
-    nlohmann::json json;
-    std::vector<ListElement> elements;
-};
-
-/// Parses a JSON object with a list in the member `name`. An element that can't be parsed doesn't
-/// make the others unreadable. The elements' texts are parts of `text`.
-ParsedList parseJsonList(std::string_view text, const char *name);
-
-} // namespace acaciasail::platform
+} // namespace acaciasail::json
--- a/platform/jsonfields.cpp
+++ b/src/framework/json/internal/jsontext.cpp
@@ -1,10 +1,10 @@
-#include "platform/jsonfields.h"
+#include "json/internal/jsontext.h"
 
 #include <algorithm>
 #include <utility>
 #include <vector>
 
-namespace acaciasail::platform {
+namespace acaciasail::json {
 
 namespace {
 
@@ -143,12 +143,7 @@
 
 } // namespace
 
-boost::leaf::error_id protocolError(const std::string &message)
-{
-    return kernel::fail(kernel::ResultCode::PlatformProtocol, message);
-}
-
-nlohmann::json parseJson(std::string_view text)
+nlohmann::json parse(std::string_view text)
 {
     Json json = parseBounded(text);
     if (!json.is_discarded())
@@ -201,7 +196,7 @@
     return Json::accept(quoted);
 }
 
-ParsedList parseJsonList(std::string_view text, const char *name)
+ParsedList parseList(std::string_view text, const char *name)
 {
     ParsedList list;
     list.json = parseBounded(text);
@@ -213,7 +208,7 @@
     if (!list.json.is_discarded())
         return list;
     const SplitText split = splitAtListElements(text);
-    list.json = parseJson(split.rest);
+    list.json = parse(split.rest);
     if (!list.json.is_object() || !list.json.contains(name))
         return list;
     for (const std::string_view element : split.elements)
@@ -221,4 +216,4 @@
     return list;
 }
 
-} // namespace acaciasail::platform
+} // namespace acaciasail::json
