--- a/soak/callers.h
+++ b/soak/callers.h
@@ -20,6 +20,8 @@
     /// Sends no further requests; requests in progress continue.
     void stop() { m_stopped = true; }
     std::size_t inProgress() const;
+    /// Returns whether a router said when it was last asked that it is ready.
+    bool isReady(std::size_t router) const { return (*m_ready)[router]; }
 
 private:
     class Caller;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -14,6 +14,7 @@
 #include "crashingrequests.h"
 #include "evacuations.h"
 #include "faults.h"
+#include "oddentries.h"
 #include "runnernotices.h"
 #include "silences.h"
 
@@ -78,6 +79,13 @@
     return true;
 }
 
+// All processes start again, in the state that the faults have left.
+void killAllRouters(World &world)
+{
+    for (std::size_t i = 0; i < world.routers().size(); ++i)
+        world.killRouter(i);
+}
+
 // Runs one seed; returns the broken promises.
 std::vector<std::string> run(const Options &options)
 {
@@ -109,11 +117,19 @@
         if (!options.plannedOnly)
             silences.emplace(world, kernel::Random(random()));
         std::optional<Evacuations> evacuations(std::in_place, world, kernel::Random(random()));
+        const OddEntries oddEntries(world, kernel::Random(random()));
         play(std::chrono::seconds(options.seconds));
         faults.stop();
         evacuations.reset();
         notices.reset();
+        if (!options.plannedOnly)
+            killAllRouters(world);
         play(calmTime);
+        for (std::size_t i = 0; i < world.routers().size(); ++i) {
+            if (!callers.isReady(i))
+                world.record().broken.push_back("each router is ready after a calm time: router "
+                                                + std::to_string(i));
+        }
     }
     callers.stop();
     if (!loop.runUntil([&] { return callers.inProgress() == 0; }, calmTime))
--- a/soak/world.h
+++ b/soak/world.h
@@ -102,6 +102,15 @@
     void pauseRouter(std::size_t number, kernel::Duration time);
     /// Restarts routers that have exited, and records unexpected exits.
     void watchRouters();
+    /// Writes or removes an entry as another writer does.
+    void putEntry(const std::string &kind, const std::string &name, const nlohmann::json &spec)
+    {
+        m_writers.put(kind, name, spec);
+    }
+    void removeEntry(const std::string &kind, const std::string &name)
+    {
+        m_writers.remove(kind, name);
+    }
     /// Lets the store go away and come back from an older copy. What operators and runners wrote
     /// since is written again after a delay.
     void restoreStore(kernel::Duration away, kernel::Duration writeDelay);
--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -9,12 +9,14 @@
 
 #include "platform/storeclient.h"
 #include "platform/tests/routerfixture.h"
-#include "router/tests/oddnames.h"
+#include "platform/testing/oddnames.h"
 
 using namespace acaciasail;
 using namespace acaciasail::platform::tests;
 using namespace acaciasail::router::testing;
 using platform::testing::makeConfigurationSpec;
+using platform::testing::OddName;
+using platform::testing::oddNames;
 using Json = nlohmann::json;
 
 namespace {
--- a/src/app/router/tests/storerelays_tests.cpp
+++ b/src/app/router/tests/storerelays_tests.cpp
@@ -7,12 +7,14 @@
 #include <gtest/gtest.h>
 
 #include "platform/names.h"
-#include "router/tests/oddnames.h"
+#include "platform/testing/oddnames.h"
 #include "router/tests/storerouters.h"
 
 using namespace acaciasail;
 using namespace acaciasail::router;
 using namespace acaciasail::router::testing;
+using acaciasail::platform::testing::OddName;
+using acaciasail::platform::testing::oddNames;
 
 namespace {
 
