--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -8,8 +8,8 @@
 #include <gtest/gtest.h>
 
 #include "platform/storeclient.h"
-#include "platform/tests/routerfixture.h"
 #include "platform/testing/oddnames.h"
+#include "platform/tests/routerfixture.h"
 
 using namespace acaciasail;
 using namespace acaciasail::platform::tests;
--- a/src/framework/http/internal/client.cpp
+++ b/src/framework/http/internal/client.cpp
@@ -37,32 +37,20 @@
     return head + "\r\n";
 }
 
-bool hasControlByte(std::string_view text)
+bool isOneWord(std::string_view text)
 {
-    return std::ranges::any_of(text, [](unsigned char c) { return std::iscntrl(c) != 0; });
+    return !hasControlByte(text) && text.find_first_of(" \t") == std::string_view::npos;
 }
 
-bool hasBlank(std::string_view text)
-{
-    return text.find(' ') != std::string_view::npos;
-}
-
-// Returns whether a request's head would be read as it was meant: no part of it ends a line, or the
-// part that it stands in.
+// Returns whether a request's head would be read as it was meant: no part of it ends its line, or
+// the part of the line that it stands in.
 bool isSendable(const ClientRequest &request)
 {
-    for (const std::string_view part :
-         { std::string_view(request.method), std::string_view(request.path),
-           std::string_view(request.host) }) {
-        if (hasControlByte(part) || hasBlank(part))
-            return false;
-    }
-    return std::ranges::all_of(request.headers, [](const Header &header) {
-        std::string value = header.value;
-        std::erase(value, '\t');
-        return !hasControlByte(value) && !hasControlByte(header.name) && !hasBlank(header.name)
-               && header.name.find(':') == std::string::npos;
-    });
+    return isOneWord(request.method) && isOneWord(request.path) && isOneWord(request.host)
+           && std::ranges::all_of(request.headers, [](const Header &header) {
+                  return isOneWord(header.name) && header.name.find(':') == std::string::npos
+                         && !hasControlByte(header.value);
+              });
 }
 
 // The idle time that an upstream states in Keep-Alive, if any.
--- a/src/framework/http/internal/message.cpp
+++ b/src/framework/http/internal/message.cpp
@@ -39,15 +39,17 @@
     return found->value;
 }
 
+bool hasControlByte(std::string_view text)
+{
+    return std::ranges::any_of(text,
+                               [](unsigned char c) { return c != '\t' && std::iscntrl(c) != 0; });
+}
+
 bool isFieldValue(std::string_view text)
 {
     constexpr std::string_view blanks = " \t";
-    const bool hasBlankEnd = !text.empty()
-                             && (blanks.find(text.front()) != std::string_view::npos
-                                 || blanks.find(text.back()) != std::string_view::npos);
-    return !hasBlankEnd && std::ranges::all_of(text, [](unsigned char c) {
-        return c == '\t' || !std::iscntrl(c);
-    });
+    return !hasControlByte(text) && text.find_first_of(blanks) != 0
+           && (text.empty() || blanks.find(text.back()) == std::string_view::npos);
 }
 
 std::size_t countHeaders(const Headers &headers, std::string_view name)
--- a/src/framework/http/internal/message.h
+++ b/src/framework/http/internal/message.h
@@ -24,6 +24,9 @@
 /// Number of headers of that name (lower case).
 std::size_t countHeaders(const Headers &headers, std::string_view name);
 
+/// Whether a text has a control byte; a tab, which headers may have, counts as none.
+bool hasControlByte(std::string_view text);
+
 /// Whether a text can be the value of a header, and is read as the same text (RFC 9110, section
 /// 5.5): it has no control byte but tabs, and neither starts nor ends with a blank or a tab.
 bool isFieldValue(std::string_view text);
--- a/src/framework/json/tests/json_tests.cpp
+++ b/src/framework/json/tests/json_tests.cpp
@@ -34,10 +34,8 @@
          { std::string(), std::string("a\"\\\n\0", 5), std::string("\xc3\xbc"),
            std::string("\xf4\x8f\xbf\xbf"), std::string("\"\xc3\xbc\"") })
         EXPECT_TRUE(isUtf8(text)) << text;
-    for (const std::string text : { "\xff", "\xc3", "\xc3\"",
-                                    "\xc3"
-                                    "a\xbc",
-                                    "\xed\xa0\x80", "\xc0\x80", "\xf4\x90\x80\x80" })
+    for (const std::string text :
+         { "\xff", "\xc3", "\xc3\"", "\xc3-\xbc", "\xed\xa0\x80", "\xc0\x80", "\xf4\x90\x80\x80" })
         EXPECT_FALSE(isUtf8(text)) << text;
 }
 
--- a/src/storewatch/internal/kindwatcher.cpp
+++ b/src/storewatch/internal/kindwatcher.cpp
@@ -144,7 +144,7 @@
             m_coordinator.recordChange(object.position);
     }
     if (!page.hasMore || !advance(attempt, page)) {
-        m_incomplete = page.hasMore;
+        attempt.incomplete = page.hasMore;
         completeList(number, page.position);
         return;
     }
@@ -169,9 +169,6 @@
 // Adds what is known of objects that an incomplete list lacks.
 void KindWatcher::addKnownObjects(ListAttempt &attempt) const
 {
-    kernel::logEvent(kernel::EventId::ListIncomplete, { { "kind", m_kind },
-                                                        { "pages", attempt.cursors.size() + 1 },
-                                                        { "objects", attempt.objects.size() } });
     for (StoredObject &object : m_mirror.objects())
         attempt.objects.try_emplace(object.name, std::move(object));
 }
@@ -205,7 +202,9 @@
     logListed(attempt.objects.size(), knownBefore);
     onSuccess();
     m_restTimer.cancel();
+    m_incomplete = attempt.incomplete;
     if (m_incomplete) {
+        logIncomplete(attempt);
         addKnownObjects(attempt);
         scheduleListForTheRest();
     }
@@ -506,7 +505,7 @@
     m_nextCallTimer = kernel::Timer(m_scheduler, delay, [this] { startListAttempt(); });
 }
 
-// One line for all unreadable objects of a response, as their names can't be read either.
+// One line for all objects of a response that have no name or revision to use.
 void KindWatcher::logUnreadable(std::size_t objects) const
 {
     if (objects == 0)
@@ -527,6 +526,13 @@
                        { "took_ms", kernel::toMilliseconds(took) } });
 }
 
+void KindWatcher::logIncomplete(const ListAttempt &attempt) const
+{
+    kernel::logEvent(kernel::EventId::ListIncomplete, { { "kind", m_kind },
+                                                        { "pages", attempt.cursors.size() + 1 },
+                                                        { "objects", attempt.objects.size() } });
+}
+
 void KindWatcher::logHeld() const
 {
     kernel::logEvent(
--- a/src/storewatch/internal/kindwatcher.h
+++ b/src/storewatch/internal/kindwatcher.h
@@ -113,6 +113,8 @@
         ListCursor after;
         // Where the pages read so far have ended.
         std::set<std::string> cursors;
+        // Whether the store has more objects but no page with them.
+        bool incomplete = false;
         kernel::StorePosition position;
         // Set if a relay answered.
         std::map<std::string, RelayedKnowledge> relayed;
@@ -148,6 +150,7 @@
                    kernel::StorePosition knownBefore);
     void scheduleHoldEnd();
     void onHoldEnd();
+    void logIncomplete(const ListAttempt &attempt) const;
     void logHeld() const;
     void logUnreadable(std::size_t objects) const;
     void logFailure(const kernel::Error &error) const;
