--- a/review/standins-3/wire.cpp
+++ b/review/standins-3/wire.cpp
@@ -42,7 +42,7 @@
     return text;
 }
 
-std::string trimmed(std::string text)
+std::string trimmed(const std::string &text)
 {
     const std::size_t first = text.find_first_not_of(" \t");
     if (first == std::string::npos)
