--- a/review/standins-3/record.h
+++ b/review/standins-3/record.h
@@ -13,9 +13,10 @@
 class Record
 {
 public:
-    explicit Record(const std::string &file)
+    /// Begins the file anew, or adds to it.
+    explicit Record(const std::string &file, std::ios::openmode mode = std::ios::trunc)
         : m_startedAt(Clock::now())
-        , m_file(file)
+        , m_file(file, std::ios::out | mode)
     {}
 
     void write(const std::string &line)
--- a/review/standins-3/runner.cpp
+++ b/review/standins-3/runner.cpp
@@ -10,9 +10,10 @@
 
 } // namespace
 
-Runner::Runner(Record &record, std::string id)
+Runner::Runner(Record &record, std::string id, int port)
     : m_record(record)
     , m_id(std::move(id))
+    , m_port(port)
     , m_listener(listenOnLoopback(m_port))
     , m_acceptor([this] { serve(); })
 {}
@@ -24,12 +25,13 @@
 }
 
 void Runner::registerAt(Store &store, const std::string &service, const std::string &state,
-                        int slots) const
+                        int slots, std::int64_t born) const
 {
     store.put("servers", m_id,
               R"({"Service":")" + service + R"(","Address":"127.0.0.1:)" + std::to_string(m_port)
                   + R"(","Zone":"zone-a","Version":"v1","Slots":)" + std::to_string(slots)
-                  + R"(,"State":")" + state + R"(","ColdLeftMs":0,"Seq":4,"born":1700000000000})");
+                  + R"(,"State":")" + state + R"(","ColdLeftMs":0,"Seq":4,"born":)"
+                  + std::to_string(born) + "}");
 }
 
 void Runner::recordRun(const std::string &id)
--- a/review/standins-3/runner.h
+++ b/review/standins-3/runner.h
@@ -29,7 +29,8 @@
     /// Returns whether the connection is kept.
     using Handler = std::function<bool(const RunnerCall &)>;
 
-    Runner(Record &record, std::string id);
+    /// Listens on a free port if `port` is 0.
+    Runner(Record &record, std::string id, int port = 0);
     ~Runner();
     Runner(const Runner &) = delete;
     Runner &operator=(const Runner &) = delete;
@@ -42,7 +43,7 @@
     void setWork(Milliseconds work) { m_work = work; }
     /// Writes the runner's entry into the store.
     void registerAt(Store &store, const std::string &service, const std::string &state = "ready",
-                    int slots = 6) const;
+                    int slots = 6, std::int64_t born = 1'700'000'000'000) const;
 
     /// Notes that a request began to run.
     void recordRun(const std::string &id);
--- /dev/null
+++ b/review/standins-3/streams.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <string>
+
+#include "caller.h"
+#include "runner.h"
+
+namespace review {
+
+/// A stream that a model runner sends.
+struct StreamShape
+{
+    int events = 4;
+    Milliseconds interval{ 30 };
+};
+
+/// Answers a request with the rest of a stream: the events after the caller's Last-Event-Id.
+/// Returns whether the connection is kept.
+bool sendStream(Runner &runner, const RunnerCall &run, StreamShape shape);
+
+/// The configuration of a small deployment with a model service `pool` for the streaming route
+/// /label/, and a plain service `desk` for the unsafe route /book/.
+std::string modelConfiguration(Milliseconds streamTimeout);
+
+/// A request for a stream.
+CallerRequest streamRequest(const std::string &id, const std::string &key,
+                            const std::string &tokens, const std::string &parts,
+                            Milliseconds timeout);
+
+/// Sends the requests at the same time and returns how many were served whole.
+int serveAtOnce(Record &record, int port, const std::vector<CallerRequest> &requests,
+                Milliseconds patience);
+
+} // namespace review
--- a/review/standins-3/wire.cpp
+++ b/review/standins-3/wire.cpp
@@ -95,7 +95,9 @@
 Socket listenOnLoopback(int &port)
 {
     Socket socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-    sockaddr_in address = loopback(0);
+    const int on = 1;
+    setsockopt(socket.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in address = loopback(port);
     socklen_t length = sizeof address;
     if (bind(socket.fd(), reinterpret_cast<sockaddr *>(&address), length) != 0
         || listen(socket.fd(), backlog) != 0)
--- a/review/standins-3/wire.h
+++ b/review/standins-3/wire.h
@@ -35,7 +35,7 @@
     int m_fd = -1;
 };
 
-/// Listens on a free port of 127.0.0.1.
+/// Listens on a port of 127.0.0.1; on a free one, which is returned in it, if it is 0.
 Socket listenOnLoopback(int &port);
 /// Accepts a connection; not open once the listener was shut down.
 Socket acceptFrom(const Socket &listener);
