--- /dev/null
+++ b/review/13/case.cpp
@@ -0,0 +1,139 @@
+// The links between the router and the three runners of a plain service are cut for some seconds,
+// while a popular page is read. No runner ends. Afterwards the page must be served again.
+
+#include <atomic>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "../standins-3/proxy.h"
+#include "../standins-3/router.h"
+#include "../standins-3/streams.h"
+
+using namespace review;
+
+namespace {
+
+constexpr Milliseconds startTime{ 10'000 };
+constexpr Milliseconds stableWindow{ 3000 };
+constexpr Milliseconds cutTime{ 5000 };
+constexpr Milliseconds work{ 60 };
+constexpr Milliseconds readTime{ 2000 };
+constexpr Milliseconds patience{ 3000 };
+constexpr Milliseconds roundInterval{ 20'000 };
+constexpr Milliseconds pauseBetweenRequests{ 20 };
+constexpr int runnerCount = 3;
+constexpr int readers = 9;
+constexpr int requestsPerRound = 20;
+
+std::string registration(int port)
+{
+    return R"({"Service":"desk","Address":"127.0.0.1:)" + std::to_string(port)
+           + R"(","Zone":"zone-a","Version":"v1","Slots":6,"State":"ready","ColdLeftMs":0,)"
+             R"("Seq":4,"born":1700000000000})";
+}
+
+CallerRequest readPage(const std::string &id)
+{
+    return { .id = id, .method = "GET", .path = "/look/2f", .body = "" };
+}
+
+// Callers who read the page again and again.
+class Readers
+{
+public:
+    Readers(Record &record, int port)
+    {
+        for (int i = 0; i < readers; ++i)
+            m_threads.emplace_back([this, &record, port, i] { read(record, port, i); });
+    }
+    ~Readers()
+    {
+        m_stopped = true;
+        for (std::thread &thread : m_threads)
+            thread.join();
+    }
+    Readers(const Readers &) = delete;
+    Readers &operator=(const Readers &) = delete;
+
+private:
+    void read(Record &record, int port, int reader)
+    {
+        for (int i = 0; !m_stopped; ++i) {
+            const std::string id = "first-" + std::to_string(reader) + "-" + std::to_string(i);
+            if (call(record, port, readPage(id), patience).status != 200)
+                std::this_thread::sleep_for(pauseBetweenRequests);
+        }
+    }
+
+    std::atomic<bool> m_stopped{ false };
+    std::vector<std::thread> m_threads;
+};
+
+// Two rounds of pages and bookings; returns the exit code.
+int judge(Record &record, int port)
+{
+    int pages = 0;
+    int bookings = 0;
+    for (const std::string name : { "second", "third" }) {
+        for (int i = 0; i < requestsPerRound; ++i) {
+            const std::string number = std::to_string(i);
+            const CallerRequest booking{ .id = name + "-book-" + number,
+                                         .body = name + " booking " + number };
+            pages += call(record, port, readPage(name + "-page-" + number), patience).status == 200
+                         ? 1
+                         : 0;
+            bookings += call(record, port, booking, patience).status == 200 ? 1 : 0;
+        }
+        record.write("so far served: " + std::to_string(pages) + " pages and "
+                     + std::to_string(bookings) + " bookings, " + std::to_string(requestsPerRound)
+                     + " of each a round");
+        if (name == "second")
+            std::this_thread::sleep_for(roundInterval);
+    }
+    const bool broken = pages < (pages + bookings) / 2.0 / 4;
+    record.write(broken ? "BROKEN: less than a quarter as often as all requests" : "held");
+    return broken ? 1 : 0;
+}
+
+} // namespace
+
+int main(int argc, const char **argv)
+{
+    if (argc < 3)
+        return 2;
+    Record record(std::string(argv[1]) + "/record.txt");
+    const char *trouble = std::getenv("TROUBLE");
+    const bool disrupt = trouble == nullptr || std::string(trouble) != "0";
+    Store store;
+    store.put("config", "main", smallConfiguration(1));
+    std::vector<std::unique_ptr<Runner>> runners;
+    std::vector<std::unique_ptr<Proxy>> proxies;
+    for (int i = 0; i < runnerCount; ++i) {
+        runners.push_back(std::make_unique<Runner>(record, "i-desk-" + std::to_string(i)));
+        runners.back()->setWork(work);
+        proxies.push_back(std::make_unique<Proxy>(runners.back()->port()));
+        store.put("servers", runners.back()->id(), registration(proxies.back()->port()));
+    }
+    RouterProcess router(argv[2], "front-1", store.port());
+    if (!router.waitUntilReady(startTime)
+        || call(record, router.port(), readPage("before"), patience).status != 200)
+        return 2;
+    {
+        const Readers traffic(record, router.port());
+        std::this_thread::sleep_for(readTime);
+        if (disrupt) {
+            record.write("the links to the runners are cut");
+            for (const auto &proxy : proxies)
+                proxy->cut();
+            std::this_thread::sleep_for(cutTime);
+            for (const auto &proxy : proxies)
+                proxy->heal();
+            record.write("the links stand again");
+        }
+    }
+    std::this_thread::sleep_for(2 * stableWindow);
+    return judge(record, router.port());
+}
