--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -27,7 +27,6 @@
 constexpr int streamsInFlight = 12;
 constexpr int requestsPerRound = 20;
 constexpr Milliseconds roundInterval{ 30'000 };
-constexpr const char *systemPrompt = "5c1e07a2:512,";
 
 // The runners as one router sees them: each behind a proxy, which its registration names.
 struct Runners
@@ -61,13 +60,8 @@
 std::vector<CallerRequest> reports(const std::string &name, int count)
 {
     std::vector<CallerRequest> requests;
-    for (int i = 0; i < count; ++i) {
-        const std::string number = std::to_string(i);
-        requests.push_back(streamRequest(name + "-report-" + number, "key-a", "6610,64",
-                                         systemPrompt + name + "s" + number + ":4870," + name + "l"
-                                             + number + ":1228",
-                                         streamTimeout));
-    }
+    for (int i = 0; i < count; ++i)
+        requests.push_back(reportRequest(name, i, streamTimeout));
     return requests;
 }
 
@@ -75,7 +69,7 @@
 {
     int served = 0;
     for (int i = 0; i < requestsPerRound; ++i) {
-        const CallerRequest request{ .id = name + "-book-" + std::to_string(i) };
+        const CallerRequest request{ .id = numbered(name, "book", i) };
         served += call(record, port, request, patience).status == 200 ? 1 : 0;
     }
     return served;
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -62,7 +62,7 @@
     void read(Record &record, int port, int reader)
     {
         for (int i = 0; !m_stopped; ++i) {
-            const std::string id = "first-" + std::to_string(reader) + "-" + std::to_string(i);
+            const std::string id = numbered("first", std::to_string(reader), i);
             if (call(record, port, readPage(id), patience).status != 200)
                 std::this_thread::sleep_for(pauseBetweenRequests);
         }
@@ -79,12 +79,10 @@
     int bookings = 0;
     for (const std::string name : { "second", "third" }) {
         for (int i = 0; i < requestsPerRound; ++i) {
-            const std::string number = std::to_string(i);
-            const CallerRequest booking{ .id = name + "-book-" + number,
-                                         .body = name + " booking " + number };
-            pages += call(record, port, readPage(name + "-page-" + number), patience).status == 200
-                         ? 1
-                         : 0;
+            const std::string id = numbered(name, "book", i);
+            const CallerRequest booking{ .id = id, .body = id };
+            const CallerRequest page = readPage(numbered(name, "page", i));
+            pages += call(record, port, page, patience).status == 200 ? 1 : 0;
             bookings += call(record, port, booking, patience).status == 200 ? 1 : 0;
         }
         record.write("so far served: " + std::to_string(pages) + " pages and "
--- a/review/standins-3/streams.cpp
+++ b/review/standins-3/streams.cpp
@@ -19,6 +19,18 @@
 
 } // namespace
 
+std::string numbered(const std::string &round, const std::string &what, int number)
+{
+    return round + "-" + what + "-" + std::to_string(number);
+}
+
+CallerRequest reportRequest(const std::string &round, int number, Milliseconds timeout)
+{
+    const std::string id = numbered(round, "report", number);
+    return streamRequest(id, "key-a", "6610,64", "5c1e07a2:512,s" + id + ":4870,l" + id + ":1228",
+                         timeout);
+}
+
 bool sendStream(Runner &runner, const RunnerCall &run, StreamShape shape)
 {
     runner.recordRun(run.id);
--- a/review/standins-3/streams.h
+++ b/review/standins-3/streams.h
@@ -7,6 +7,12 @@
 
 namespace review {
 
+/// Returns an id of a round of requests, such as "second-report-3".
+std::string numbered(const std::string &round, const std::string &what, int number);
+
+/// A request for a report: its first part is shared, its session and last part are its own.
+CallerRequest reportRequest(const std::string &round, int number, Milliseconds timeout);
+
 /// A stream that a model runner sends.
 struct StreamShape
 {
