--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -60,6 +60,7 @@
 std::vector<CallerRequest> reports(const std::string &name, int count)
 {
     std::vector<CallerRequest> requests;
+    requests.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         requests.push_back(reportRequest(name, i, streamTimeout));
     return requests;
@@ -118,11 +119,9 @@
     std::this_thread::sleep_for(runTime);
     if (disrupt) {
         record.write("the links to the runners of the pool are cut");
-        for (const auto &proxy : pool.proxies)
-            proxy->cut();
+        cut(pool.proxies);
         std::this_thread::sleep_for(cutTime);
-        for (const auto &proxy : pool.proxies)
-            proxy->heal();
+        heal(pool.proxies);
         record.write("the links stand again");
     }
     inProgress.join();
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -124,11 +124,9 @@
         std::this_thread::sleep_for(readTime);
         if (disrupt) {
             record.write("the links to the runners are cut");
-            for (const auto &proxy : proxies)
-                proxy->cut();
+            cut(proxies);
             std::this_thread::sleep_for(cutTime);
-            for (const auto &proxy : proxies)
-                proxy->heal();
+            heal(proxies);
             record.write("the links stand again");
         }
     }
--- a/review/standins-3/proxy.cpp
+++ b/review/standins-3/proxy.cpp
@@ -28,7 +28,8 @@
 
 Proxy::~Proxy()
 {
-    cut();
+    refuse();
+    reset();
 }
 
 void Proxy::heal()
@@ -40,18 +41,25 @@
     m_acceptor = std::thread([this, listener = m_listener] { serve(listener); });
 }
 
-void Proxy::cut()
+void Proxy::refuse()
 {
-    std::vector<std::weak_ptr<Link>> links;
     {
         const std::lock_guard lock(m_mutex);
         if (!m_listener)
             return;
         shutDown(*m_listener);
         m_listener.reset();
-        links = std::exchange(m_links, {});
     }
     m_acceptor.join();
+}
+
+void Proxy::reset()
+{
+    std::vector<std::weak_ptr<Link>> links;
+    {
+        const std::lock_guard lock(m_mutex);
+        links = std::exchange(m_links, {});
+    }
     for (const auto &weak : links) {
         if (const auto link = weak.lock()) {
             resetOnClose(link->caller);
@@ -97,4 +105,18 @@
     shutDown(to);
 }
 
+void cut(const std::vector<std::unique_ptr<Proxy>> &proxies)
+{
+    for (const auto &proxy : proxies)
+        proxy->refuse();
+    for (const auto &proxy : proxies)
+        proxy->reset();
+}
+
+void heal(const std::vector<std::unique_ptr<Proxy>> &proxies)
+{
+    for (const auto &proxy : proxies)
+        proxy->heal();
+}
+
 } // namespace review
--- a/review/standins-3/proxy.h
+++ b/review/standins-3/proxy.h
@@ -19,7 +19,10 @@
     Proxy &operator=(const Proxy &) = delete;
 
     int port() const { return m_port; }
-    void cut();
+    /// Refuses new connections.
+    void refuse();
+    /// Resets the connections, once new ones are refused.
+    void reset();
     void heal();
 
 private:
@@ -40,4 +43,8 @@
     std::thread m_acceptor;
 };
 
+/// Cuts all links at the same moment.
+void cut(const std::vector<std::unique_ptr<Proxy>> &proxies);
+void heal(const std::vector<std::unique_ptr<Proxy>> &proxies);
+
 } // namespace review
--- a/review/standins-3/router.cpp
+++ b/review/standins-3/router.cpp
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -49,6 +50,8 @@
     m_pid = fork();
     if (m_pid != 0)
         return;
+    // The router ends with this process, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     const int log = open(output.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
