--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -26,7 +26,6 @@
 constexpr int modelRunners = 6;
 constexpr int streamsInFlight = 12;
 constexpr int requestsPerRound = 20;
-constexpr Milliseconds roundInterval{ 30'000 };
 
 // The runners as one router sees them: each behind a proxy, which its registration names.
 struct Runners
@@ -76,19 +75,18 @@
     return served;
 }
 
-// Two rounds of reports and bookings; returns the exit code.
-int judge(Record &record, int port)
+// Two rounds, the second at another router, of reports and bookings; returns the exit code.
+int judge(Record &record, int port, int otherPort)
 {
     int served = 0;
     int bookings = 0;
     for (const std::string name : { "second", "third" }) {
-        served += serveAtOnce(record, port, reports(name, requestsPerRound), patience);
-        bookings += serveBookings(record, port, name);
+        const int at = name == "second" ? port : otherPort;
+        served += serveAtOnce(record, at, reports(name, requestsPerRound), patience);
+        bookings += serveBookings(record, at, name);
         record.write("so far served: " + std::to_string(served) + " reports and "
                      + std::to_string(bookings) + " bookings, " + std::to_string(requestsPerRound)
                      + " of each a round");
-        if (name == "second")
-            std::this_thread::sleep_for(roundInterval);
     }
     const bool broken = served < (served + bookings) / 2.0 / 4;
     record.write(broken ? "BROKEN: less than a quarter as often as all requests" : "held");
@@ -125,6 +123,10 @@
         record.write("the links stand again");
     }
     inProgress.join();
+    // A router that was not there before.
+    const RouterProcess other(argv[2], "front-2", store.port());
     std::this_thread::sleep_for(2 * stableWindow);
-    return judge(record, router.port());
+    if (!other.waitUntilReady(startTime))
+        return 2;
+    return judge(record, router.port(), other.port());
 }
--- a/review/13/case.cpp
+++ b/review/13/case.cpp
@@ -22,7 +22,6 @@
 constexpr Milliseconds work{ 60 };
 constexpr Milliseconds readTime{ 2000 };
 constexpr Milliseconds patience{ 3000 };
-constexpr Milliseconds roundInterval{ 20'000 };
 constexpr Milliseconds pauseBetweenRequests{ 20 };
 constexpr int runnerCount = 3;
 constexpr int readers = 9;
@@ -72,24 +71,23 @@
     std::vector<std::thread> m_threads;
 };
 
-// Two rounds of pages and bookings; returns the exit code.
-int judge(Record &record, int port)
+// Two rounds, the second at another router, of pages and bookings; returns the exit code.
+int judge(Record &record, int port, int otherPort)
 {
     int pages = 0;
     int bookings = 0;
     for (const std::string name : { "second", "third" }) {
+        const int at = name == "second" ? port : otherPort;
         for (int i = 0; i < requestsPerRound; ++i) {
             const std::string id = numbered(name, "book", i);
             const CallerRequest booking{ .id = id, .body = id };
             const CallerRequest page = readPage(numbered(name, "page", i));
-            pages += call(record, port, page, patience).status == 200 ? 1 : 0;
-            bookings += call(record, port, booking, patience).status == 200 ? 1 : 0;
+            pages += call(record, at, page, patience).status == 200 ? 1 : 0;
+            bookings += call(record, at, booking, patience).status == 200 ? 1 : 0;
         }
         record.write("so far served: " + std::to_string(pages) + " pages and "
                      + std::to_string(bookings) + " bookings, " + std::to_string(requestsPerRound)
                      + " of each a round");
-        if (name == "second")
-            std::this_thread::sleep_for(roundInterval);
     }
     const bool broken = pages < (pages + bookings) / 2.0 / 4;
     record.write(broken ? "BROKEN: less than a quarter as often as all requests" : "held");
@@ -130,6 +128,10 @@
             record.write("the links stand again");
         }
     }
+    // A router that was not there before.
+    const RouterProcess other(argv[2], "front-2", store.port());
     std::this_thread::sleep_for(2 * stableWindow);
-    return judge(record, router.port());
+    if (!other.waitUntilReady(startTime))
+        return 2;
+    return judge(record, router.port(), other.port());
 }
