--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -29,7 +29,7 @@
 // Twice the stable window after the last crash, and some seconds for the crashes and returns.
 constexpr Milliseconds judgedAfter{ 14'000 };
 // The sound reports run for some time before the part comes.
-constexpr Milliseconds runTime{ 500 };
+constexpr Milliseconds runTime{ 1000 };
 constexpr Milliseconds crashingInterval{ 250 };
 constexpr const char *crashingPart = "91bd3f06";
 constexpr StreamShape longStream{ 64, Milliseconds(120) };
