--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 #include <vector>
 
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -57,6 +58,8 @@
         const std::string port = std::to_string(m_port);
         m_pid = fork();
         if (m_pid == 0) {
+            // The runner ends with the thread that started it.
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             execl(m_program.c_str(), m_program.c_str(), "runner", m_recordFile.c_str(),
                   m_id.c_str(), port.c_str(), nullptr);
             _exit(127);
