--- a/src/app/router/tests/oddentries_tests.cpp
+++ b/src/app/router/tests/oddentries_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include <gtest/gtest.h>
@@ -128,6 +129,57 @@
     platform::StoreClient m_storeClient;
 };
 
+// A record that is no UTF-8, and where bytes that mean nothing in JSON fill it up to a fixed
+// length.
+struct FilledRecord
+{
+    std::string label;
+    std::string before;
+    std::string behind;
+};
+
+std::vector<FilledRecord> filledRecords()
+{
+    // Together with the record the most that an object may have.
+    constexpr std::size_t fillingBytes = (1U << 20U) - 64;
+    const std::string blanks(fillingBytes, ' ');
+    const std::string lineEnds(fillingBytes, '\n');
+    std::string mixed;
+    while (mixed.size() < fillingBytes)
+        mixed += "\r\n\t ";
+    return { { "BlanksBehind", "", blanks },     { "BlanksBefore", blanks, "" },
+             { "LineEndsBehind", "", lineEnds }, { "LineEndsBefore", lineEnds, "" },
+             { "MixedBehind", "", mixed },       { "MixedBefore", mixed, "" } };
+}
+
+const std::vector<std::string> kindsReadByRouters{ "config",      "servers",      "rollouts",
+                                                   "evacuations", "crashreports", "limitreports" };
+
+// Such a record among the objects of one kind.
+class FilledRecordTest : public RouterTest,
+                         public ::testing::WithParamInterface<std::tuple<std::string, FilledRecord>>
+{
+protected:
+    FilledRecordTest() { addRunner("a1", "first"); }
+
+    void putRecord()
+    {
+        const auto &[kind, record] = GetParam();
+        m_store.putText(kind, "m-note",
+                        record.before + "{\"Note\":\"Caf\xe9 am Prater\"}" + record.behind);
+    }
+
+    void startFirst() { start(makeConfigurationSpec(1, { { "first", "unsafe", "first" } })); }
+
+    void expectService()
+    {
+        ASSERT_TRUE(waitUntilServing(1));
+        for (int i = 0; i < 5; ++i)
+            EXPECT_EQ(status(makeRequest("/first/x", "request-" + std::to_string(i))), 200);
+        EXPECT_EQ(readinessStatus(), 200);
+    }
+};
+
 const std::string writtenBody = R"({"Metadata":{},"Spec":2,"Status":3})";
 
 } // namespace
@@ -234,3 +286,29 @@
 
 INSTANTIATE_TEST_SUITE_P(Names, OddEntryTest, ::testing::ValuesIn(oddNames()),
                          [](const auto &info) { return info.param.label; });
+
+// Guards against a record that is read in a time that grows with the square of its size: the router
+// answered nothing for minutes.
+TEST_P(FilledRecordTest, RouterThatStartsWhileItStandsServes)
+{
+    putRecord();
+    startFirst();
+    expectService();
+}
+
+TEST_P(FilledRecordTest, RouterThatIsToldOfItKeepsServing)
+{
+    startFirst();
+    expectService();
+    putRecord();
+    addRunner("z9", "first");
+    EXPECT_TRUE(waitUntilServing(2));
+    EXPECT_EQ(status(makeRequest("/first/x", "request-last")), 200);
+}
+
+INSTANTIATE_TEST_SUITE_P(Records, FilledRecordTest,
+                         ::testing::Combine(::testing::ValuesIn(kindsReadByRouters),
+                                            ::testing::ValuesIn(filledRecords())),
+                         [](const auto &info) {
+                             return std::get<0>(info.param) + std::get<1>(info.param).label;
+                         });
--- a/src/framework/json/internal/jsontext.cpp
+++ b/src/framework/json/internal/jsontext.cpp
@@ -35,19 +35,61 @@
     }
 };
 
-bool isTooDeep(std::string_view text)
+bool isWhitespace(char c)
 {
+    return c == ' ' || c == '\n' || c == '\r' || c == '\t';
+}
+
+// What is known of a text before it is parsed.
+struct TextShape
+{
+    bool isTooDeep = false;
+    // The text has more whitespace in a row than any writer needs.
+    bool isFilled = false;
+};
+
+TextShape inspect(std::string_view text)
+{
+    constexpr std::size_t maxWhitespace = 1024;
+    TextShape shape;
     JsonScanner scanner;
-    return std::ranges::any_of(text, [&scanner](char c) {
+    std::size_t whitespaceInRow = 0;
+    for (const char c : text) {
         scanner.advance(c);
-        return scanner.depth > maxDepth;
-    });
+        whitespaceInRow = isWhitespace(c) ? whitespaceInRow + 1 : 0;
+        shape.isTooDeep = shape.isTooDeep || scanner.depth > maxDepth;
+        shape.isFilled = shape.isFilled || whitespaceInRow > maxWhitespace;
+    }
+    return shape;
 }
 
-// Returns a discarded value if the text is not JSON or is nested too deeply.
+// Returns the text with one blank in place of each run of whitespace outside of strings.
+std::string withoutFilling(std::string_view text)
+{
+    std::string result;
+    JsonScanner scanner;
+    bool wasWhitespace = false;
+    for (const char c : text) {
+        const bool skippable = !scanner.inString && isWhitespace(c);
+        scanner.advance(c);
+        if (skippable && !wasWhitespace)
+            result += ' ';
+        if (!skippable)
+            result += c;
+        wasWhitespace = skippable;
+    }
+    return result;
+}
+
+// Returns a discarded value if the text is not JSON or is nested too deeply. The parser describes
+// an error with all whitespace before it, which takes it long for a filled text.
 Json parseBounded(std::string_view text)
 {
-    return isTooDeep(text) ? Json(Json::value_t::discarded) : Json::parse(text, nullptr, false);
+    const TextShape shape = inspect(text);
+    if (shape.isTooDeep)
+        return Json(Json::value_t::discarded);
+    return shape.isFilled ? Json::parse(withoutFilling(text), nullptr, false)
+                          : Json::parse(text, nullptr, false);
 }
 
 // A text split at the elements of the lists that are members of its outermost object.
@@ -167,13 +209,14 @@
         scanner.advance(c);
         if (!structural || depth > 1)
             continue;
-        const std::string_view token = trimmed(object.substr(start, i - start));
         const bool endsMember = depth == 1 && (c == ',' || c == '}');
-        if (endsMember && found)
-            return token;
         const bool endsKey = depth == 1 && c == ':';
+        // Each byte is part of one token at most, so the work is linear in the size of the text.
+        const auto token = [&] { return trimmed(object.substr(start, i - start)); };
+        if (endsMember && found)
+            return token();
         if (endsKey)
-            found = token == key;
+            found = token() == key;
         if (endsKey || endsMember || depth == 0)
             start = i + 1;
     }
--- a/src/framework/json/tests/json_tests.cpp
+++ b/src/framework/json/tests/json_tests.cpp
@@ -66,3 +66,33 @@
     EXPECT_EQ(parseList(R"({"a":{}})", "a").elements.size(), 0U);
     EXPECT_TRUE(parseList(R"({"a":[1,)", "a").json.is_discarded());
 }
+
+TEST(JsonText, FillingChangesNothingOfWhatATextMeans)
+{
+    const std::string fill(5000, '\n');
+    EXPECT_EQ(
+        parse(fill + "{" + fill + "\"a\"" + fill + ":1," + fill + "\"b\":[" + fill + "]}" + fill),
+        parse(R"({"a":1,"b":[]})"));
+    EXPECT_EQ(parse("\"" + std::string(5000, ' ') + "\""), std::string(5000, ' '));
+    EXPECT_TRUE(parse("[1" + fill + "2]").is_discarded()) << "these are two numbers";
+    EXPECT_TRUE(parse("\"a" + fill + "b\"").is_discarded()) << "a string has no line ends";
+    EXPECT_TRUE(parse(fill).is_discarded());
+}
+
+// Guards against reading whose work grows with the square of the size: each of these texts took
+// more than an hour.
+TEST(JsonText, FillingIsReadInLinearTime)
+{
+    constexpr std::size_t fillingBytes = 4U << 20U;
+    for (const char filling : { ' ', '\t', '\r', '\n', 'x', ':', ',' }) {
+        const std::string fill(fillingBytes, filling);
+        const std::string first = R"({"a":"\xff","b":1,)" + fill + R"("c":2})";
+        EXPECT_EQ(memberText(first, "a"), R"("\xff")");
+        const std::string last = R"({"a":"\xff",)" + fill + R"(,"b": 1 })" + fill;
+        EXPECT_EQ(memberText(last, "b"), "1") << "filling " << static_cast<int>(filling);
+        EXPECT_EQ(memberText(fill + "{" + fill, "b"), "");
+    }
+    const std::string blanks(fillingBytes, ' ');
+    const std::string around = "{" + blanks + "\"b\"" + blanks + ":" + blanks + "1" + blanks + "}";
+    EXPECT_EQ(memberText(around, "b"), "1");
+}
