--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -56,9 +56,10 @@
 void recordCompletion(PartCrashes &crashes, const PromptPartKey &key, kernel::WallTime at)
 {
     const auto known = crashes.known.find(key);
-    if (known == crashes.known.end() || unclearedCrashes(known->second).empty())
+    if (known == crashes.known.end() || unclearedCrashes(known->second).empty()
+        || known->second.completedAt >= at)
         return;
-    known->second.completedAt = std::max(known->second.completedAt, std::optional(at));
+    known->second.completedAt = at;
     crashes.isBlameOutdated = true;
     if (!crashes.shared.contains(key)) {
         crashes.own.erase(key);
@@ -88,21 +89,24 @@
 }
 
 void recordPartsCompleted(PartCrashes &crashes, const std::vector<PromptPartKey> &parts,
-                          kernel::WallTime wallNow)
+                          kernel::WallTime at)
 {
-    const kernel::WallTime at = toWholeMilliseconds(wallNow);
+    const kernel::WallTime rounded = toWholeMilliseconds(at);
     for (const PromptPartKey &key : parts) {
-        crashes.completedAt[key] = at;
-        recordCompletion(crashes, key, at);
+        kernel::WallTime &known = crashes.completedAt[key];
+        known = std::max(known, rounded);
+        recordCompletion(crashes, key, known);
     }
     limitPartTimes(crashes.completedAt);
 }
 
 void recordPartsWritten(PartCrashes &crashes, const std::vector<PromptPartKey> &parts,
-                        kernel::WallTime wallNow)
+                        kernel::WallTime at)
 {
-    for (const PromptPartKey &key : parts)
-        crashes.writtenAt[key] = wallNow;
+    for (const PromptPartKey &key : parts) {
+        kernel::WallTime &known = crashes.writtenAt[key];
+        known = std::max(known, at);
+    }
     limitPartTimes(crashes.writtenAt);
 }
 
--- a/src/forwarding/internal/crashes/partcrashes.h
+++ b/src/forwarding/internal/crashes/partcrashes.h
@@ -17,10 +17,11 @@
     /// Evidence that this router recorded itself.
     PartEvidenceSet own;
     CrashedProcesses crashed;
-    /// Times at which this router last saw a request with the part run to completion.
+    /// Times at which this router last saw a request with the part run to completion, or long
+    /// enough to show that the part is sound.
     PartTimes completedAt;
-    /// Times at which this router last saw an upstream write a response to a request with the part
-    /// for a while.
+    /// Times at which this router last saw an upstream begin to write a response to a request with
+    /// the part that then went on for a while.
     PartTimes writtenAt;
     /// Parts whose evidence the other routers don't have yet, and since when: most parts are
     /// completed again soon, and then nobody needs the evidence.
@@ -47,12 +48,13 @@
 
 /// Records that an upstream crashed while it ran a request with these parts.
 void recordPartCrash(PartCrashes &crashes, const PartCrash &crash, kernel::Instant now);
-/// Records that a request with these parts ran to completion.
+/// Records that these parts crashed no upstream at that time: a request with them ran to completion
+/// then, or the response to it was begun then and went on for long.
 void recordPartsCompleted(PartCrashes &crashes, const std::vector<PromptPartKey> &parts,
-                          kernel::WallTime wallNow);
+                          kernel::WallTime at);
 
-/// Records that an upstream has been writing the response to a request with these parts for a while
-/// and has not crashed.
+/// Records that an upstream began to write the response to a request with these parts at that time,
+/// and went on for a while without a crash.
 void recordPartsWritten(PartCrashes &crashes, const std::vector<PromptPartKey> &parts,
                         kernel::WallTime wallNow);
 
--- a/src/forwarding/internal/crashes/partevidence.cpp
+++ b/src/forwarding/internal/crashes/partevidence.cpp
@@ -89,12 +89,18 @@
     return static_cast<std::size_t>(others) <= suspect.crashes.size();
 }
 
-bool wasSoundBefore(const Suspect &suspect, kernel::WallTime firstCrash, const PartTimes &writtenAt)
+// Returns the latest time at which the part is known to have been sound; nothing if there is none.
+std::optional<kernel::WallTime> lastSoundAt(const Suspect &suspect, const PartTimes &writtenAt)
 {
     const auto written = writtenAt.find(suspect.key);
-    std::optional<kernel::WallTime> soundAt = suspect.evidence->completedAt;
-    if (written != writtenAt.end())
-        soundAt = std::max(soundAt, std::optional(written->second));
+    const std::optional<kernel::WallTime> &completedAt = suspect.evidence->completedAt;
+    return written == writtenAt.end() ? completedAt
+                                      : std::max(completedAt, std::optional(written->second));
+}
+
+bool wasSoundBefore(const Suspect &suspect, kernel::WallTime firstCrash, const PartTimes &writtenAt)
+{
+    const std::optional<kernel::WallTime> soundAt = lastSoundAt(suspect, writtenAt);
     return soundAt && firstCrash - *soundAt < recentlySound;
 }
 
@@ -111,7 +117,8 @@
 }
 
 // Returns the suspect to blame next. Sound parts that the crashing requests share are at about as
-// many crashes as the crashing part, but have been completed more recently.
+// many crashes as the crashing part, but have been completed or written on more recently, as an
+// upstream crashes soon after it has begun to write on the crashing part.
 const Suspect *selectSuspect(const std::vector<Suspect> &suspects, const BlameContext &context)
 {
     std::vector<const Suspect *> blamable;
@@ -127,9 +134,9 @@
         return static_cast<double>(suspect->crashes.size()) < minCrashes;
     });
     const auto selected
-        = std::ranges::min_element(blamable, [](const Suspect *a, const Suspect *b) {
-              return std::tuple(a->evidence->completedAt, b->crashes.size(), a->key)
-                     < std::tuple(b->evidence->completedAt, a->crashes.size(), b->key);
+        = std::ranges::min_element(blamable, [&](const Suspect *a, const Suspect *b) {
+              return std::tuple(lastSoundAt(*a, context.writtenAt), b->crashes.size(), a->key)
+                     < std::tuple(lastSoundAt(*b, context.writtenAt), a->crashes.size(), b->key);
           });
     return selected == blamable.end() ? nullptr : *selected;
 }
--- a/src/forwarding/internal/crashes/partevidence.h
+++ b/src/forwarding/internal/crashes/partevidence.h
@@ -55,8 +55,8 @@
 /// Sound requests are lost beside those that crash an upstream, so each part of a lost request is
 /// under suspicion. A sound part is completed again soon; a crashing one never is, and it was at
 /// most of the crashes of its time. A crash that one part explains counts against no other.
-/// `writtenAt` holds the times at which upstreams last wrote a response to a request with the part
-/// for a while without a crash.
+/// `writtenAt` holds the times at which upstreams last began to write a response to a request with
+/// the part that then went on for a while.
 BlamedParts findBlamedParts(const PartEvidenceSet &evidence, const CrashedProcesses &crashed,
                             const PartTimes &writtenAt);
 
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -23,7 +23,9 @@
 // Maximum number of unread bytes of a slow caller before reading from the upstream pauses.
 constexpr std::size_t maxQueuedBytes = 256U << 10U;
 constexpr double failureRateWeight = 0.02;
-// A part of a prompt that crashes upstreams does so sooner after the first event.
+// A part of a prompt that crashes upstreams mostly does so sooner after the first event, and never
+// as late as this.
+constexpr kernel::Duration likelySoundWritingTime = std::chrono::milliseconds(500);
 constexpr kernel::Duration soundWritingTime = std::chrono::seconds(2);
 // Random time that is added to the remaining cooldown (0 if there is none) to give the retry-after
 // time, so that callers do not return at the same time.
@@ -183,12 +185,22 @@
         recordFirstEventTime();
     }
     m_attempt->lastActivity = at;
-    if (at - m_attempt->firstEventAt >= soundWritingTime
-        && !std::exchange(m_attempt->writtenForWhile, true))
-        recordPartsWritten(m_state.crashes.parts, m_plan.sharedParts, m_state.scheduler.wallNow());
+    recordWriting();
     recordProgress(m_state.crashes, m_plan.fingerprint);
 }
 
+// A response that goes on for a while after its first event shows that the parts of its prompt were
+// sound when the upstream began to write.
+void Job::recordWriting()
+{
+    const kernel::Duration written = now() - m_attempt->firstEventAt;
+    const kernel::WallTime startedAt = m_state.scheduler.wallNow() - written;
+    if (written >= likelySoundWritingTime && !std::exchange(m_attempt->likelySound, true))
+        recordPartsWritten(m_state.crashes.parts, m_plan.sharedParts, startedAt);
+    if (written >= soundWritingTime && !std::exchange(m_attempt->provenSound, true))
+        recordPartsCompleted(m_state.crashes.parts, m_plan.sharedParts, startedAt);
+}
+
 // Applies backpressure: reading from the upstream pauses while the caller leaves too many bytes
 // unread.
 void Job::applyBackpressure()
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -73,8 +73,10 @@
         bool endsWithConnection = false;
         bool firstByteSeen = false;
         kernel::Instant firstEventAt{};
-        // The response has been written for a while without a crash.
-        bool writtenForWhile = false;
+        // The response went on long enough to show, with some or with full certainty, that no part
+        // of the prompt crashes upstreams.
+        bool likelySound = false;
+        bool provenSound = false;
     };
 
     // Response of a small model that is set aside while a larger model is asked.
@@ -153,6 +155,7 @@
     void onBody(std::string_view piece);
     EventUse onEvent(const StreamEvent &event);
     void recordEvent();
+    void recordWriting();
     // Returns whether the response is a stream whose events are checked one by one.
     bool isCheckedStream() const;
     void passOnBuffer();
--- a/src/forwarding/tests/crashingfleet.cpp
+++ b/src/forwarding/tests/crashingfleet.cpp
@@ -16,10 +16,10 @@
 // Time from a crash until the store no longer lists the process, and until another one runs.
 constexpr kernel::Duration listedAfterCrash = 1500ms;
 constexpr kernel::Duration timeToReplace = 3s;
-// Number of subjects that sound requests are about, and of callers' system prompts.
+// Number of subjects that sound requests are about.
 constexpr std::size_t subjects = 40;
-constexpr std::size_t systemPrompts = 4;
-const std::string crashingPart = "bad";
+// Time after which a connect that nobody answers fails.
+constexpr kernel::Duration silentConnectTime = 300ms;
 
 std::shared_ptr<Configuration> makeConfiguration()
 {
@@ -90,7 +90,7 @@
     for (std::size_t to = 0; to < m_routers.size(); ++to) {
         if (to != number)
             m_deliveries.push_back(
-                { now() + m_options.reportTime, [deliverTo, to] { deliverTo(to); } });
+                { now() + m_options.reportTime, [deliverTo, to] { deliverTo(to); }, std::nullopt });
     }
 }
 
@@ -111,6 +111,7 @@
     Member &member = *m_routers[number];
     for (const std::shared_ptr<FakeSend> &send : member.http.sends)
         send->cancelled = true;
+    std::erase_if(m_deliveries, [number](const Delivery &one) { return one.router == number; });
     member.forwarder = nullptr;
     member.http.connects.clear();
     member.handledConnects = 0;
@@ -133,6 +134,12 @@
 }
 
 void CrashingFleet::sendFromCaller(bool crashing)
+{
+    sendRequest(std::nullopt, crashing);
+}
+
+// Sends to the router, or to a random one.
+void CrashingFleet::sendRequest(std::optional<std::size_t> router, bool crashing)
 {
     Request request;
     request.id = kernel::RequestId("r" + std::to_string(++m_lastRequest));
@@ -142,7 +149,8 @@
     request.key = "key";
     request.body = request.id.str();
     request.arrived = now();
-    const std::size_t systemPrompt = crashing ? 0 : kernel::uniformBelow(m_random, systemPrompts);
+    const std::size_t systemPrompt
+        = crashing ? 0 : kernel::uniformBelow(m_random, m_options.systemPrompts);
     const PromptPart system = part("system" + std::to_string(systemPrompt));
     const PromptPart own = part("own" + request.id.str());
     const std::size_t subject = kernel::uniformBelow(m_random, subjects);
@@ -150,9 +158,9 @@
     if (!crashing)
         request.work->parts = { system, part("subject" + std::to_string(subject)), own };
     else if (m_options.crashingPartOpensPrompt)
-        request.work->parts = { part(crashingPart), system, own };
+        request.work->parts = { part(m_options.crashingPart), system, own };
     else
-        request.work->parts = { system, part(crashingPart), own };
+        request.work->parts = { system, part(m_options.crashingPart), own };
     if (crashing)
         request.headers.push_back({ "crashing", "1" });
     auto responder = std::make_shared<FakeResponder>();
@@ -160,8 +168,8 @@
         m_crashingResponders.push_back(responder);
     else
         m_sound.push_back({ now(), systemPrompt == 0, responder });
-    m_routers[kernel::uniformBelow(m_random, m_routers.size())]->forwarder->handle(
-        std::move(request), responder);
+    const std::size_t to = router ? *router : kernel::uniformBelow(m_random, m_routers.size());
+    m_routers[to]->forwarder->handle(std::move(request), responder);
 }
 
 std::size_t CrashingFleet::upstreamWithId(std::string_view id) const
@@ -171,15 +179,70 @@
     return static_cast<std::size_t>(found - m_upstreams.begin());
 }
 
-void CrashingFleet::receiveRequests(Member &member)
+bool CrashingFleet::isCut(std::size_t router) const
+{
+    return m_cutRouters.contains(router);
+}
+
+void CrashingFleet::cutLinks(const std::set<std::size_t> &routers, CutKind kind)
+{
+    m_cutRouters = routers;
+    m_cutKind = kind;
+    if (kind == CutKind::Silent)
+        return;
+    for (Run &run : m_runs) {
+        if (isCut(run.router))
+            run.dueAt = now();
+    }
+}
+
+// What was silenced stays so: its connections are not those that are opened from now on.
+void CrashingFleet::restoreLinks()
 {
+    std::erase_if(m_runs, [this](const Run &run) {
+        return m_cutKind == CutKind::Silent && isCut(run.router);
+    });
+    m_cutRouters.clear();
+}
+
+void CrashingFleet::wait(kernel::Duration time)
+{
+    const kernel::Instant end = now() + time;
+    while (now() < end)
+        step();
+}
+
+int CrashingFleet::serve(std::size_t router, int count, kernel::Duration time)
+{
+    const std::size_t first = m_sound.size();
+    for (int i = 0; i < count; ++i)
+        sendRequest(router, false);
+    wait(time);
+    int served = 0;
+    for (std::size_t i = first; i < m_sound.size(); ++i)
+        served += m_sound[i].responder->status == 200 ? 1 : 0;
+    return served;
+}
+
+void CrashingFleet::receiveRequests(std::size_t router)
+{
+    Member &member = *m_routers[router];
     for (; member.handledSends < member.http.sends.size(); ++member.handledSends) {
         const std::shared_ptr<FakeSend> send = member.http.sends[member.handledSends];
         if (send->cancelled)
             continue;
         const std::size_t upstream
             = upstreamWithId(http::findHeader(send->request.headers, "upstream").value_or(""));
-        if (upstream == m_upstreams.size() || !m_upstreams[upstream].running) {
+        if (isCut(router) && m_cutKind == CutKind::Silent) {
+            const auto fail = [send] {
+                const http::ClientHandlers handlers = send->handlers;
+                if (!send->cancelled)
+                    handlers.onEnd(kernel::Error{ kernel::ResultCode::UpstreamTimeout, "silent" });
+            };
+            m_deliveries.push_back({ now() + silentConnectTime, fail, router });
+            continue;
+        }
+        if (isCut(router) || upstream == m_upstreams.size() || !m_upstreams[upstream].running) {
             const http::ClientHandlers handlers = send->handlers;
             handlers.onEnd(kernel::Error{ kernel::ResultCode::UpstreamConnectFailed, "refused" });
             continue;
@@ -191,6 +254,7 @@
         const std::string resumed(http::findHeader(send->request.headers, "resume").value_or(""));
         Run run;
         run.send = send;
+        run.router = router;
         run.upstream = upstream;
         run.crashing = crashing && m_partCrashes;
         run.lastEvent = std::atoi(resumed.c_str());
@@ -199,13 +263,22 @@
     }
 }
 
-void CrashingFleet::answerProbes(Member &member)
+void CrashingFleet::answerProbes(std::size_t router)
 {
+    Member &member = *m_routers[router];
     for (; member.handledConnects < member.http.connects.size(); ++member.handledConnects) {
         const FakeConnect connect = member.http.connects[member.handledConnects];
-        const bool running = std::ranges::any_of(m_upstreams, [&](const FleetProcess &one) {
-            return one.running && one.entry.endpoint == connect.endpoint;
-        });
+        if (isCut(router) && m_cutKind == CutKind::Silent) {
+            const auto fail = [connect] {
+                connect.callback(kernel::Error{ kernel::ResultCode::UpstreamTimeout, "silent" });
+            };
+            m_deliveries.push_back({ now() + silentConnectTime, fail, router });
+            continue;
+        }
+        const bool running
+            = !isCut(router) && std::ranges::any_of(m_upstreams, [&](const FleetProcess &one) {
+                  return one.running && one.entry.endpoint == connect.endpoint;
+              });
         if (running)
             connect.callback(kernel::Done{});
         else
@@ -217,7 +290,8 @@
 {
     std::vector<Run> due;
     std::erase_if(m_runs, [&](const Run &run) {
-        if (run.dueAt > now())
+        const bool isSilent = isCut(run.router) && m_cutKind == CutKind::Silent;
+        if (run.dueAt > now() || isSilent)
             return false;
         due.push_back(run);
         return true;
@@ -232,6 +306,10 @@
     if (run.send->cancelled)
         return;
     const http::ClientHandlers handlers = run.send->handlers;
+    if (isCut(run.router) && m_cutKind == CutKind::Refused) {
+        handlers.onEnd(kernel::Error{ kernel::ResultCode::UpstreamBroken, "cut" });
+        return;
+    }
     if (run.crashing && m_upstreams[run.upstream].running && isCrashDue(run)) {
         m_crashes.push_back(now());
         crash(run.upstream);
@@ -334,15 +412,20 @@
         if (withCrashingPart
             && kernel::uniform01(m_random) < m_options.crashingPerSecond * stepSeconds)
             sendFromCaller(true);
-        for (const auto &member : m_routers) {
-            receiveRequests(*member);
-            answerProbes(*member);
-        }
-        continueRuns();
-        replaceCrashed();
-        deliverReports();
-        m_clock.advance(stepTime);
+        step();
+    }
+}
+
+void CrashingFleet::step()
+{
+    for (std::size_t i = 0; i < m_routers.size(); ++i) {
+        receiveRequests(i);
+        answerProbes(i);
     }
+    continueRuns();
+    replaceCrashed();
+    deliverReports();
+    m_clock.advance(stepTime);
 }
 
 int CrashingFleet::crashingArrivalsSince(kernel::Instant from) const
--- a/src/forwarding/tests/crashingfleet.h
+++ b/src/forwarding/tests/crashingfleet.h
@@ -3,6 +3,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,14 @@
     WithinStream,
 };
 
+/// How the links between routers and upstreams fail. Nothing ends in either case.
+enum class CutKind {
+    /// Connections are reset and new ones refused.
+    Refused,
+    /// Nothing passes, and nobody is told.
+    Silent,
+};
+
 /// How the fleet below is used.
 struct CrashingFleetOptions
 {
@@ -26,6 +36,11 @@
     /// The crashing part opens the prompt; otherwise it follows the part that the route's requests
     /// share.
     bool crashingPartOpensPrompt = false;
+    /// Name of the crashing part; that of the shared first parts is "system" and a number.
+    std::string crashingPart = "bad";
+    /// Number of first parts that requests share. The requests with the crashing part share the
+    /// first of them.
+    std::size_t systemPrompts = 4;
     double crashingPerSecond = 6;
     double soundPerSecond = 60;
     int eventsPerStream = 12;
@@ -61,6 +76,9 @@
     void startRouter(std::size_t number);
     /// Crashes this many upstreams, which no request caused.
     void crashUpstreams(std::size_t count);
+    /// Cuts the links between these routers and all upstreams, or restores all links.
+    void cutLinks(const std::set<std::size_t> &routers, CutKind kind);
+    void restoreLinks();
 
     kernel::Instant now() const { return m_clock.now(); }
     /// Returns the times at which upstreams crashed because of the crashing part.
@@ -71,6 +89,12 @@
     /// response; of those that share their first part only, if wanted.
     double answeredShare(kernel::Instant from, kernel::Instant to, bool onlySharedFirstPart) const;
 
+    /// Moves time on without further requests.
+    void wait(kernel::Duration time);
+    /// Sends this many sound requests to a router and returns how many got the start of a response
+    /// within that time.
+    int serve(std::size_t router, int count, kernel::Duration time);
+
     /// Returns the largest number of parts that a router refuses.
     std::size_t maxBlamedParts() const;
 
@@ -92,6 +116,7 @@
     struct Run
     {
         std::shared_ptr<FakeSend> send;
+        std::size_t router = 0;
         std::size_t upstream = 0;
         bool crashing = false;
         bool headSent = false;
@@ -104,11 +129,16 @@
     {
         kernel::Instant dueAt{};
         std::function<void()> deliver;
+        // Router whose restart drops the delivery, if there is one.
+        std::optional<std::size_t> router;
     };
 
     void sendFromCaller(bool crashing);
-    void receiveRequests(Member &member);
-    void answerProbes(Member &member);
+    void sendRequest(std::optional<std::size_t> router, bool crashing);
+    bool isCut(std::size_t router) const;
+    void receiveRequests(std::size_t router);
+    void answerProbes(std::size_t router);
+    void step();
     void continueRuns();
     void continueRun(Run run);
     bool isCrashDue(const Run &run) const;
@@ -134,6 +164,8 @@
     std::vector<std::shared_ptr<FakeResponder>> m_crashingResponders;
     std::vector<kernel::Instant> m_crashes;
     std::vector<kernel::Instant> m_crashingArrivals;
+    std::set<std::size_t> m_cutRouters;
+    CutKind m_cutKind = CutKind::Refused;
     bool m_partCrashes = true;
     int m_lastRequest = 0;
     int m_lastProcess = 0;
--- a/src/forwarding/tests/crashingpart_tests.cpp
+++ b/src/forwarding/tests/crashingpart_tests.cpp
@@ -134,6 +134,55 @@
     }
 }
 
+// All requests share their first part, and their streams are long: none was completed yet when the
+// crashing part comes.
+class FirstReportsTest : public ::testing::TestWithParam<std::tuple<std::size_t, std::string>>
+{
+protected:
+    static CrashingFleetOptions makeOptions()
+    {
+        CrashingFleetOptions options;
+        std::tie(options.routers, options.crashingPart) = GetParam();
+        options.upstreams = 4;
+        options.systemPrompts = 1;
+        options.soundPerSecond = 12;
+        options.crashingPerSecond = 4;
+        options.eventsPerStream = 200;
+        return options;
+    }
+};
+
+// Guards against the blame of the part that all requests share in place of the crashing one: no
+// request was served beside it any more.
+TEST_P(FirstReportsTest, AreServedBesideACrashingPart)
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CrashingFleetOptions options = makeOptions();
+        options.seed = seed;
+        CrashingFleet fleet(options);
+        fleet.run(1200ms, false);
+        fleet.run(20s, true);
+        ASSERT_GE(fleet.crashes().size(), 4U);
+        // The fifth crash, or the last if there are fewer.
+        const kernel::Instant lastCrash
+            = fleet.crashes()[std::min(fleet.crashes().size(), crashesToDetect) - 1];
+        const kernel::Instant from = lastCrash + recoveryTime;
+        const kernel::Instant end = fleet.now();
+        fleet.run(2s, true);
+        EXPECT_GE(fleet.answeredShare(from, end, true), minAnsweredShare) << "seed " << seed;
+        EXPECT_LE(fleet.crashingArrivalsSince(lastCrash + detectionTime), maxArrivalsAfterDetection)
+            << "seed " << seed;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Fleets, FirstReportsTest,
+                         ::testing::Combine(::testing::Values(1, 5),
+                                            ::testing::Values("aaa", "zzz")),
+                         [](const auto &info) {
+                             return std::get<1>(info.param) + "AtRouters"
+                                    + std::to_string(std::get<0>(info.param));
+                         });
+
 INSTANTIATE_TEST_SUITE_P(Moments, CrashingPartTest,
                          ::testing::Combine(::testing::Values(CrashMoment::BeforeHead,
                                                               CrashMoment::AfterHead,
--- a/src/forwarding/tests/partevidence_tests.cpp
+++ b/src/forwarding/tests/partevidence_tests.cpp
@@ -111,6 +111,30 @@
     EXPECT_EQ(blamedParts(crashes), expected);
 }
 
+// Guards against a blame that the ids of the parts decide where no run was completed yet, as after
+// a restart: the part that all requests share was blamed in place of the one that crashes.
+TEST(PartEvidence, PartThatIsWrittenOnIsNotBlamedInPlaceOfTheCrashingOne)
+{
+    for (const std::string crashing : { "aaa", "zzz" }) {
+        PartCrashes crashes;
+        recordPartsWritten(crashes, { part("shared") }, wall(-1s));
+        for (int i = 0; i < 5; ++i)
+            recordCrashOf(crashes, { "shared", crashing }, processName(i), "r" + std::to_string(i),
+                          std::chrono::milliseconds(600 * i));
+        EXPECT_EQ(blamedParts(crashes), std::set{ part(crashing) });
+    }
+}
+
+TEST(PartEvidence, EarlierCompletionDoesNotReplaceALaterOne)
+{
+    PartCrashes crashes;
+    recordFourCrashes(crashes);
+    recordPartsCompleted(crashes, { part("bad") }, wall(4s));
+    recordPartsCompleted(crashes, { part("bad") }, wall(2s));
+    EXPECT_EQ(crashes.known[part("bad")].completedAt, wall(4s));
+    EXPECT_EQ(crashes.completedAt[part("bad")], wall(4s));
+}
+
 TEST(PartEvidence, PartAtFewOfTheCrashesIsNotBlamed)
 {
     PartCrashes crashes;
