--- a/src/forwarding/internal/crashes/crashevidence.cpp
+++ b/src/forwarding/internal/crashes/crashevidence.cpp
@@ -27,6 +27,7 @@
 // A request that gets no response from another upstream within this time is shared.
 constexpr kernel::Duration pendingEvidenceTimeout = std::chrono::seconds(1);
 constexpr kernel::Duration shareInterval = std::chrono::seconds(1);
+constexpr std::size_t maxAliveProcesses = 256;
 
 void movePendingToOwn(CrashEvidence &evidence, const poison::Fingerprint &fingerprint)
 {
@@ -73,8 +74,10 @@
     return run.goneAt && now - *run.goneAt >= commonCauseWindow;
 }
 
-void recordCrash(CrashEvidence &evidence, const LostRun &run, kernel::WallTime wallNow)
+void recordCrash(CrashEvidence &evidence, const LostRun &run, kernel::Instant now,
+                 kernel::WallTime wallNow)
 {
+    recordSuspicion(evidence.suspected, run.process, now);
     const kernel::WallTime at = toWholeMilliseconds(wallNow);
     evidence.known.capacity = maxTrackedRequests;
     evidence.own.capacity = maxTrackedRequests;
@@ -96,12 +99,61 @@
     for (LostRun &run : evidence.lost) {
         if (!run.goneAt || std::exchange(run.countsForParts, true) || run.sharedParts.empty())
             continue;
+        recordSuspicion(evidence.suspected, run.process, now);
         const kernel::WallTime crashedAt = wallNow - (now - run.lostAt);
         recordPartCrash(evidence.parts,
                         { run.sharedParts, run.fingerprint, run.process, crashedAt }, now);
     }
 }
 
+// Removes from a report what is known to be no crash.
+void dropDisprovedCrashes(CrashReport &report, const AliveTimes &alive)
+{
+    for (const auto &[process, until] : alive) {
+        poison::dropCrashes(report.requests, process, until);
+        dropCrash(report.parts, process, until);
+    }
+}
+
+void recordSuspicions(SuspectedProcesses &suspected, const CrashReport &report, kernel::Instant now)
+{
+    for (const auto &[fingerprint, request] : report.requests.evidence) {
+        for (const auto &[process, times] : request.crashTimes)
+            recordSuspicion(suspected, process, now);
+    }
+    for (const auto &[key, part] : report.parts) {
+        for (const auto &[process, time] : part.crashes)
+            recordSuspicion(suspected, process, now);
+    }
+}
+
+// Applies that a process was alive; returns whether that is new.
+bool mergeAlive(CrashEvidence &evidence, const kernel::UpstreamId &process, kernel::WallTime at)
+{
+    const auto [known, added] = evidence.alive.try_emplace(process, at);
+    if (!added && known->second >= at)
+        return false;
+    known->second = at;
+    evidence.suspected.processes.erase(process);
+    poison::dropCrashes(evidence.known, process, at);
+    if (poison::dropCrashes(evidence.own, process, at))
+        evidence.hasUnsharedEvidence = true;
+    for (auto &[fingerprint, pending] : evidence.pending)
+        pending.evidence.crashTimes.erase(process);
+    recordProcessAlive(evidence.parts, process, at);
+    return true;
+}
+
+void expireAlive(AliveTimes &alive, kernel::WallTime wallNow)
+{
+    std::erase_if(alive, [wallNow](const auto &item) {
+        return wallNow - item.second > poison::evidenceLifetime;
+    });
+    while (alive.size() > maxAliveProcesses)
+        alive.erase(
+            std::ranges::min_element(alive, {}, [](const auto &item) { return item.second; }));
+}
+
 } // namespace
 
 kernel::UpstreamId processIdOf(const Upstream &upstream)
@@ -130,6 +182,7 @@
     if (!first && !gone->second.returned)
         return;
     gone->second = { now };
+    recordUnreached(evidence.suspected, upstream);
     for (LostRun &run : evidence.lost) {
         if (run.upstream == upstream && !run.goneAt)
             run.goneAt = now;
@@ -172,7 +225,7 @@
     std::erase_if(evidence.lost,
                   [&](const LostRun &run) { return isCommonCauseWindowOver(run, now); });
     for (const LostRun &run : crashed)
-        recordCrash(evidence, run, wallNow);
+        recordCrash(evidence, run, now, wallNow);
     std::erase_if(evidence.gone, [&](const auto &item) {
         return now - item.second.since >= goneUpstreamRetention;
     });
@@ -248,14 +301,31 @@
         }));
 }
 
-bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received)
+void recordProcessAlive(CrashEvidence &evidence, const kernel::UpstreamId &process,
+                        kernel::WallTime wallNow)
+{
+    const kernel::WallTime at = toWholeMilliseconds(wallNow);
+    if (!mergeAlive(evidence, process, at))
+        return;
+    evidence.ownAlive[process] = at;
+    evidence.hasUnsharedEvidence = true;
+}
+
+bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received, kernel::Instant now)
 {
     evidence.known.capacity = maxTrackedRequests;
-    const bool hasNewRequests = poison::merge(evidence.known, received.requests);
-    return mergeReceivedParts(evidence.parts, received.parts) || hasNewRequests;
+    bool isNew = false;
+    for (const auto &[process, at] : received.alive)
+        isNew |= mergeAlive(evidence, process, at);
+    CrashReport report = received;
+    dropDisprovedCrashes(report, evidence.alive);
+    recordSuspicions(evidence.suspected, report, now);
+    isNew |= poison::merge(evidence.known, report.requests);
+    isNew |= mergeReceivedParts(evidence.parts, report.parts);
+    return isNew;
 }
 
-void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored)
+void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored, kernel::Instant now)
 {
     evidence.own.capacity = maxTrackedRequests;
     // A report that was shared before this one was read lacks its evidence.
@@ -267,13 +337,19 @@
         restored.parts, [&](const auto &item) { return !evidence.parts.own.contains(item.first); });
     if ((lacksRequests || lacksParts) && evidence.sharedAt != kernel::Instant{})
         evidence.hasUnsharedEvidence = true;
-    mergeCrashEvidence(evidence, restored);
-    poison::merge(evidence.own, restored.requests);
-    mergePartEvidence(evidence.parts.own, restored.parts);
+    mergeCrashEvidence(evidence, restored, now);
+    evidence.ownAlive.insert(restored.alive.begin(), restored.alive.end());
+    CrashReport report = restored;
+    dropDisprovedCrashes(report, evidence.alive);
+    poison::merge(evidence.own, report.requests);
+    mergePartEvidence(evidence.parts.own, report.parts);
 }
 
-void expireCrashEvidence(CrashEvidence &evidence, kernel::WallTime wallNow)
+void expireCrashEvidence(CrashEvidence &evidence, kernel::Instant now, kernel::WallTime wallNow)
 {
+    expireSuspicions(evidence.suspected, now);
+    expireAlive(evidence.alive, wallNow);
+    expireAlive(evidence.ownAlive, wallNow);
     poison::expire(evidence.known, wallNow);
     poison::expire(evidence.own, wallNow);
     expireParts(evidence.parts, wallNow);
@@ -298,7 +374,7 @@
     evidence.hasUnsharedEvidence = false;
     evidence.sharedAt = now;
     return { poison::mostImportantEvidence(evidence.own, maxSharedRequests),
-             takePartsToShare(evidence.parts) };
+             takePartsToShare(evidence.parts), evidence.ownAlive };
 }
 
 } // namespace acaciasail::forwarding
--- a/src/forwarding/internal/crashes/crashevidence.h
+++ b/src/forwarding/internal/crashes/crashevidence.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "forwarding/internal/crashes/partcrashes.h"
+#include "forwarding/internal/crashes/suspectedprocesses.h"
 #include "forwarding/internal/types.h"
 #include "poison/poison.h"
 
@@ -55,13 +56,15 @@
 {
     poison::PoisonEvidenceSet requests;
     PartEvidenceSet parts;
+    /// Processes that the router found alive after they had been taken for crashed, and when.
+    AliveTimes alive;
 };
 
 /// A router's evidence on poison requests and prompt parts, which crash each upstream that runs
 /// them.
 ///
-/// A lost run counts as a crash unless its upstream is found alive. Confirmed crashes are shared
-/// with the other routers, whose evidence is merged into this one.
+/// A lost run counts as a crash unless its upstream is found alive, at once or later. Confirmed
+/// crashes are shared with the other routers, whose evidence is merged into this one.
 struct CrashEvidence
 {
     /// Evidence of all routers.
@@ -72,6 +75,13 @@
     std::vector<LostRun> lost;
     std::map<kernel::UpstreamId, GoneUpstream> gone;
     PartCrashes parts;
+    /// Processes whose crashes count as evidence.
+    SuspectedProcesses suspected;
+    /// Times at which processes were found alive by any router. Their crashes up to then don't
+    /// count.
+    AliveTimes alive;
+    /// Those that this router found alive itself, which it shares with the others.
+    AliveTimes ownAlive;
     /// The router's own evidence has changes that were not shared yet.
     bool hasUnsharedEvidence = false;
     kernel::Instant sharedAt{};
@@ -116,12 +126,18 @@
 /// Returns the number of requests that are refused because of their crashes.
 std::size_t countRefusedRequests(const CrashEvidence &evidence);
 
+/// Records that the upstream's process never ended, so that its crashes so far count against
+/// nothing.
+void recordProcessAlive(CrashEvidence &evidence, const kernel::UpstreamId &process,
+                        kernel::WallTime wallNow);
+
 /// Merges the evidence of another router; returns whether any of it was new.
-bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received);
+bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received, kernel::Instant now);
 /// Restores the evidence of this router's previous process.
-void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored);
+void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored,
+                          kernel::Instant now);
 /// Removes expired evidence.
-void expireCrashEvidence(CrashEvidence &evidence, kernel::WallTime wallNow);
+void expireCrashEvidence(CrashEvidence &evidence, kernel::Instant now, kernel::WallTime wallNow);
 
 /// Returns whether this router has evidence of its own that is not certain or not shared yet. Both
 /// take a few seconds.
--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -110,6 +110,20 @@
     limitPartTimes(crashes.writtenAt);
 }
 
+void recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
+                        kernel::WallTime until)
+{
+    for (auto &[service, processes] : crashes.crashed) {
+        const auto crash = processes.find(process);
+        if (crash != processes.end() && crash->second <= until)
+            processes.erase(crash);
+    }
+    if (dropCrash(crashes.known, process, until))
+        crashes.isBlameOutdated = true;
+    if (dropCrash(crashes.own, process, until))
+        crashes.hasUnsharedEvidence = true;
+}
+
 bool mergeReceivedParts(PartCrashes &crashes, const PartEvidenceSet &received)
 {
     for (const auto &[key, part] : received)
--- a/src/forwarding/internal/crashes/partcrashes.h
+++ b/src/forwarding/internal/crashes/partcrashes.h
@@ -56,7 +56,12 @@
 /// Records that an upstream began to write the response to a request with these parts at that time,
 /// and went on for a while without a crash.
 void recordPartsWritten(PartCrashes &crashes, const std::vector<PromptPartKey> &parts,
-                        kernel::WallTime wallNow);
+                        kernel::WallTime at);
+
+/// Records that the process did not crash up to that time, so that nothing is held against the
+/// parts of the requests that it ran.
+void recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
+                        kernel::WallTime until);
 
 /// Merges the evidence of another router; returns whether any of it was new.
 bool mergeReceivedParts(PartCrashes &crashes, const PartEvidenceSet &received);
--- a/src/forwarding/internal/crashes/partevidence.cpp
+++ b/src/forwarding/internal/crashes/partevidence.cpp
@@ -184,6 +184,19 @@
     return uncleared;
 }
 
+bool dropCrash(PartEvidenceSet &evidence, const kernel::UpstreamId &process, kernel::WallTime until)
+{
+    bool dropped = false;
+    for (auto &[key, part] : evidence) {
+        const auto crash = part.crashes.find(process);
+        if (crash == part.crashes.end() || crash->second > until)
+            continue;
+        part.crashes.erase(crash);
+        dropped = true;
+    }
+    return dropped;
+}
+
 bool mergePartEvidence(PartEvidenceSet &evidence, const PartEvidenceSet &other)
 {
     bool changed = false;
--- a/src/forwarding/internal/crashes/partevidence.h
+++ b/src/forwarding/internal/crashes/partevidence.h
@@ -47,6 +47,11 @@
 /// Returns the processes that crashed after a request with the part last ran to completion.
 std::set<kernel::UpstreamId> unclearedCrashes(const PartEvidence &evidence);
 
+/// Removes the crash of a process up to that time from all parts, as the process did not crash
+/// then. Returns whether there was one.
+bool dropCrash(PartEvidenceSet &evidence, const kernel::UpstreamId &process,
+               kernel::WallTime until);
+
 /// Merges the evidence; returns whether any of it was new.
 bool mergePartEvidence(PartEvidenceSet &evidence, const PartEvidenceSet &other);
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -67,6 +67,16 @@
                        { "draining", upstream != nullptr && upstream->draining } });
 }
 
+// A process whose start time isn't known can't be told from its successor.
+std::optional<kernel::UpstreamId> registeredProcess(const Directory &directory,
+                                                    const kernel::UpstreamId &id)
+{
+    const auto known = directory.upstreams.find(id);
+    if (known == directory.upstreams.end() || known->second.entry.startedAtMs == 0)
+        return std::nullopt;
+    return processIdOf(known->second.entry);
+}
+
 } // namespace
 
 Forwarder::Forwarder(const kernel::Scheduler &scheduler, ForwarderCallbacks callbacks,
@@ -273,7 +283,7 @@
 
 void Forwarder::mergeCrashEvidence(const kernel::VmId &from, const CrashReport &received)
 {
-    if (!forwarding::mergeCrashEvidence(m_state.crashes, received))
+    if (!forwarding::mergeCrashEvidence(m_state.crashes, received, m_state.scheduler.now()))
         return;
     reviewBlamedParts();
     kernel::logEvent(kernel::EventId::PoisonReported,
@@ -286,7 +296,7 @@
 
 void Forwarder::restoreCrashEvidence(const CrashReport &restored)
 {
-    forwarding::restoreCrashEvidence(m_state.crashes, restored);
+    forwarding::restoreCrashEvidence(m_state.crashes, restored, m_state.scheduler.now());
     reviewBlamedParts();
     endCrashingRequests();
 }
@@ -391,13 +401,40 @@
         logPoisonSuspected(m_state, run);
         endCrashingRequests();
     }
+    reviewSuspectedProcesses();
     reviewBlamedParts();
     if (!m_shareCrashes || !isShareDue(m_state.crashes, now))
         return;
-    expireCrashEvidence(m_state.crashes, wallNow);
+    expireCrashEvidence(m_state.crashes, now, wallNow);
     m_shareCrashes(takeEvidenceToShare(m_state.crashes, now));
 }
 
+// Takes back the crashes of upstreams that turn out to be the same processes as before.
+void Forwarder::reviewSuspectedProcesses()
+{
+    SuspectedProcesses &suspected = m_state.crashes.suspected;
+    if (m_state.directory.storeUnreachable) {
+        restartConfirmations(suspected);
+        return;
+    }
+    const SuspicionReview review = reviewSuspicions(
+        suspected,
+        [this](const kernel::UpstreamId &id) { return registeredProcess(m_state.directory, id); },
+        m_state.scheduler.now());
+    for (const kernel::UpstreamId &process : review.alive) {
+        recordProcessAlive(m_state.crashes, process, m_state.scheduler.wallNow());
+        kernel::logEvent(kernel::EventId::CrashDisproved,
+                         { { "upstream", upstreamOfProcess(process) }, { "process", process } });
+    }
+    // Those that can't be reached are probed in any case.
+    std::ranges::copy_if(review.toProbe,
+                         std::inserter(m_state.upstreamsToProbe, m_state.upstreamsToProbe.end()),
+                         [this](const kernel::UpstreamId &id) {
+                             const auto record = m_state.records.find(id);
+                             return record == m_state.records.end() || !record->second.unreachable;
+                         });
+}
+
 void Forwarder::reviewBlamedParts()
 {
     const BlameChange change = updateBlame(m_state.crashes.parts);
@@ -521,6 +558,8 @@
         return;
     }
     recordUpstreamAlive(m_state.crashes, id, m_state.scheduler.wallNow());
+    if (const auto process = registeredProcess(m_state.directory, id))
+        recordReached(m_state.crashes.suspected, *process, m_state.scheduler.now());
     const auto record = m_state.records.find(id);
     if (record == m_state.records.end() || !record->second.unreachable)
         return;
--- a/src/forwarding/internal/forwarder.h
+++ b/src/forwarding/internal/forwarder.h
@@ -111,6 +111,7 @@
     void reviewRollout(Rollout &rollout);
     bool isRejectedByDoubts(const Rollout &rollout) const;
     void reviewCrashes();
+    void reviewSuspectedProcesses();
     void reviewBlamedParts();
     void reviewLimits();
     void shareWork();
--- a/src/forwarding/tests/crashevidence_tests.cpp
+++ b/src/forwarding/tests/crashevidence_tests.cpp
@@ -179,11 +179,11 @@
     CrashEvidence other;
     recordConfirmedCrash(local, poisonRequest, "a", 0s);
     recordConfirmedCrash(other, poisonRequest, "a", 200ms);
-    EXPECT_TRUE(mergeCrashEvidence(local, takeShared(other, 2s)));
+    EXPECT_TRUE(mergeCrashEvidence(local, takeShared(other, 2s), at(0s)));
     EXPECT_EQ(countCrashes(local, poisonRequest), 1);
     recordLostRun(local, makeLostRun(poisonRequest, "b", 3s));
     recordConfirmedCrash(other, poisonRequest, "b", 3s);
-    mergeCrashEvidence(local, takeShared(other, 4s));
+    mergeCrashEvidence(local, takeShared(other, 4s), at(0s));
     EXPECT_EQ(countCrashes(local, poisonRequest), 2)
         << "the lost run is the crash that the other router shared";
 }
@@ -193,7 +193,7 @@
     CrashEvidence evidence;
     CrashEvidence other;
     recordConfirmedCrash(other, harmlessRequest, "z", 0s);
-    mergeCrashEvidence(evidence, takeShared(other, 2s));
+    mergeCrashEvidence(evidence, takeShared(other, 2s), at(0s));
     EXPECT_FALSE(isShareDue(evidence, at(10s)));
     recordConfirmedCrash(evidence, poisonRequest, "a", 0s);
     recordConfirmedCrash(evidence, poisonRequest, "b", 100ms);
@@ -242,9 +242,9 @@
     CrashEvidence observer;
     CrashEvidence completer;
     recordConfirmedCrash(observer, harmlessRequest, "a", 0s);
-    mergeCrashEvidence(completer, takeShared(observer, 1s));
+    mergeCrashEvidence(completer, takeShared(observer, 1s), at(0s));
     recordCompletedRun(completer, harmlessRequest, {}, wall(2s));
-    mergeCrashEvidence(observer, takeShared(completer, 3s));
+    mergeCrashEvidence(observer, takeShared(completer, 3s), at(0s));
     EXPECT_EQ(countCrashes(observer, harmlessRequest), 0);
     recordCompletedRun(completer, harmlessRequest, {}, wall(4s));
     EXPECT_FALSE(isShareDue(completer, at(10s))) << "nothing is left to clear";
@@ -277,7 +277,7 @@
     for (const char *upstream : { "a", "b", "c" })
         recordConfirmedCrash(before, poisonRequest, upstream, 0s);
     CrashEvidence after;
-    restoreCrashEvidence(after, takeShared(before, 1s));
+    restoreCrashEvidence(after, takeShared(before, 1s), at(0s));
     EXPECT_TRUE(crashesUpstreams(after, poisonRequest));
     recordConfirmedCrash(after, harmlessRequest, "c", 2s);
     EXPECT_TRUE(takeShared(after, 3s).requests.evidence.contains(poisonRequest));
@@ -293,10 +293,144 @@
     recordConfirmedCrash(after, harmlessRequest, "c", 3s);
     recordConfirmedCrash(after, harmlessRequest, "d", 3s);
     const CrashReport early = takeShared(after, 5s);
-    restoreCrashEvidence(after, stored);
+    restoreCrashEvidence(after, stored, at(0s));
     const CrashReport shared = takeShared(after, 10s);
     EXPECT_TRUE(shared.requests.evidence.contains(poisonRequest));
     EXPECT_TRUE(shared.requests.evidence.contains(harmlessRequest));
-    restoreCrashEvidence(after, shared);
+    restoreCrashEvidence(after, shared, at(0s));
     EXPECT_FALSE(isShareDue(after, at(20s))) << "the router's own report brings nothing new";
 }
+
+namespace {
+
+const kernel::UpstreamId upstreamA("a");
+const kernel::UpstreamId processA("a@1");
+const PromptPartKey sharedPart{ kernel::ServiceName("engines"), "part" };
+
+// Four upstreams of which the first, as it turns out, never ended.
+CrashEvidence evidenceOfFourCrashes()
+{
+    CrashEvidence evidence;
+    for (const char *upstream : { "a", "b", "c", "d" }) {
+        for (const char *request : { "crasher", "other" }) {
+            LostRun run = makeLostRun(poison::Fingerprint(request), upstream, 0s);
+            run.sharedParts = { sharedPart };
+            recordLostRun(evidence, run);
+        }
+        recordUpstreamGone(evidence, kernel::UpstreamId(upstream), at(0s));
+    }
+    classifyLostRuns(evidence, at(500ms), wall(500ms));
+    updateBlame(evidence.parts);
+    return evidence;
+}
+
+// The registration of upstream "a" as a router sees it.
+RegisteredProcess registered(std::optional<kernel::UpstreamId> process)
+{
+    return [process](const kernel::UpstreamId &id) {
+        return id == upstreamA ? process : std::nullopt;
+    };
+}
+
+} // namespace
+
+TEST(CrashEvidence, ProcessThatIsFoundAliveCrashedForNoRequestAndNoPart)
+{
+    CrashEvidence evidence = evidenceOfFourCrashes();
+    ASSERT_EQ(poison::unclearedCrashes(evidence.known, poisonRequest), 4);
+    ASSERT_EQ(evidence.parts.blamed.parts, std::set{ sharedPart });
+    recordProcessAlive(evidence, processA, wall(5s));
+    EXPECT_EQ(poison::unclearedCrashes(evidence.known, poisonRequest), 3);
+    updateBlame(evidence.parts);
+    EXPECT_TRUE(evidence.parts.blamed.parts.empty());
+    const CrashReport shared = takeShared(evidence, 6s);
+    EXPECT_EQ(shared.alive, (AliveTimes{ { processA, wall(5s) } }));
+    EXPECT_FALSE(shared.parts.at(sharedPart).crashes.contains(processA));
+}
+
+TEST(CrashEvidence, ProcessFoundAliveByOneRouterIsSoForAll)
+{
+    CrashEvidence finder = evidenceOfFourCrashes();
+    const CrashReport before = takeShared(finder, 2s);
+    CrashEvidence other;
+    mergeCrashEvidence(other, before, at(2s));
+    updateBlame(other.parts);
+    ASSERT_EQ(other.parts.blamed.parts, std::set{ sharedPart });
+    recordProcessAlive(finder, processA, wall(5s));
+    const CrashReport after = takeShared(finder, 6s);
+    EXPECT_TRUE(mergeCrashEvidence(other, after, at(6s)));
+    updateBlame(other.parts);
+    EXPECT_TRUE(other.parts.blamed.parts.empty());
+    EXPECT_FALSE(mergeCrashEvidence(other, before, at(7s)))
+        << "the older report brings nothing back";
+    updateBlame(other.parts);
+    EXPECT_TRUE(other.parts.blamed.parts.empty());
+
+    CrashEvidence restarted;
+    restoreCrashEvidence(restarted, after, at(8s));
+    mergeCrashEvidence(restarted, before, at(8s));
+    EXPECT_EQ(poison::unclearedCrashes(restarted.known, poisonRequest), 3);
+    EXPECT_EQ(takeEvidenceToShare(restarted, at(10s)).alive, after.alive)
+        << "it goes on to tell the others";
+}
+
+TEST(CrashEvidence, LaterCrashOfAProcessThatWasFoundAliveCounts)
+{
+    CrashEvidence evidence = evidenceOfFourCrashes();
+    recordProcessAlive(evidence, processA, wall(5s));
+    recordUpstreamAlive(evidence, upstreamA, wall(5s));
+    LostRun run = makeLostRun(poisonRequest, "a", 20s);
+    run.sharedParts = { sharedPart };
+    recordLostRun(evidence, run);
+    recordUpstreamGone(evidence, upstreamA, at(20s));
+    classifyLostRuns(evidence, at(20500ms), wall(20500ms));
+    EXPECT_EQ(poison::unclearedCrashes(evidence.known, poisonRequest), 4);
+    updateBlame(evidence.parts);
+    EXPECT_EQ(evidence.parts.blamed.parts, std::set{ sharedPart });
+}
+
+TEST(SuspectedProcesses, ReachedProcessIsAliveOnlyIfItStaysRegistered)
+{
+    SuspectedProcesses suspected;
+    recordSuspicion(suspected, processA, at(0s));
+    recordReached(suspected, processA, at(1s));
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(2s)).alive.empty());
+    reviewSuspicions(suspected, registered(kernel::UpstreamId("a@2")), at(2500ms));
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(4s)).alive.empty())
+        << "another process was registered meanwhile";
+    recordReached(suspected, processA, at(5s));
+    recordUnreached(suspected, upstreamA);
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(8s)).alive.empty());
+    recordReached(suspected, processA, at(9s));
+    restartConfirmations(suspected);
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(12s)).alive.empty());
+    recordReached(suspected, processA, at(13s));
+    EXPECT_EQ(reviewSuspicions(suspected, registered(processA), at(15s)).alive,
+              std::vector{ processA });
+    EXPECT_TRUE(suspected.processes.empty());
+}
+
+TEST(SuspectedProcesses, RegisteredProcessIsProbedOnceACrashedOneWouldBeGone)
+{
+    SuspectedProcesses suspected;
+    recordSuspicion(suspected, processA, at(0s));
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(1s)).toProbe.empty());
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(std::nullopt), at(3s)).toProbe.empty());
+    EXPECT_EQ(reviewSuspicions(suspected, registered(processA), at(3s)).toProbe,
+              std::vector{ upstreamA });
+    recordReached(suspected, processA, at(3s));
+    EXPECT_TRUE(reviewSuspicions(suspected, registered(processA), at(4s)).toProbe.empty());
+}
+
+TEST(SuspectedProcesses, AreBoundedAndExpire)
+{
+    SuspectedProcesses suspected;
+    for (int i = 0; i < 2000; ++i)
+        recordSuspicion(suspected, kernel::UpstreamId("u" + std::to_string(i) + "@1"),
+                        at(std::chrono::seconds(i)));
+    expireSuspicions(suspected, at(2000s));
+    EXPECT_EQ(suspected.processes.size(), 512U);
+    EXPECT_TRUE(suspected.processes.contains(kernel::UpstreamId("u1999@1")));
+    expireSuspicions(suspected, at(48h));
+    EXPECT_TRUE(suspected.processes.empty());
+}
--- a/src/forwarding/tests/crashingpart_tests.cpp
+++ b/src/forwarding/tests/crashingpart_tests.cpp
@@ -183,6 +183,65 @@
                                     + std::to_string(std::get<0>(info.param));
                          });
 
+// A quiet service: the first long streams of the day share their first part, and something happens
+// that no request causes. Nothing else runs afterwards that would show that the part is sound.
+CrashingFleetOptions quietFleet(std::size_t upstreams)
+{
+    CrashingFleetOptions options;
+    options.routers = 2;
+    options.upstreams = upstreams;
+    options.systemPrompts = 1;
+    options.eventsPerStream = 64;
+    return options;
+}
+
+constexpr int firstStreams = 12;
+constexpr int streamsPerRound = 20;
+
+// Both routers, the second of which starts only then, serve what shares the part.
+void expectAllServed(CrashingFleet &fleet, kernel::Duration time)
+{
+    for (const std::size_t router : { 0, 1 })
+        EXPECT_EQ(fleet.serve(router, streamsPerRound, time), streamsPerRound)
+            << "at router " << router;
+    EXPECT_EQ(fleet.maxBlamedParts(), 0U);
+}
+
+class QuietCutTest
+    : public ::testing::TestWithParam<std::tuple<CutKind, kernel::Duration, kernel::Duration>>
+{};
+
+std::string nameOfCut(const ::testing::TestParamInfo<QuietCutTest::ParamType> &info)
+{
+    const auto [kind, written, cutTime] = info.param;
+    return (kind == CutKind::Refused ? "Refused" : "Silent")
+           + std::to_string(kernel::toMilliseconds(cutTime)) + "MsAfter"
+           + std::to_string(kernel::toMilliseconds(written)) + "Ms";
+}
+
+// Guards against a cut that passes for crashes: every request with the shared part was refused for
+// an hour.
+TEST_P(QuietCutTest, BlamesNoPart)
+{
+    const auto [kind, written, cutTime] = GetParam();
+    CrashingFleet fleet(quietFleet(6));
+    fleet.serve(0, firstStreams, written);
+    fleet.cutLinks({ 0, 1 }, kind);
+    fleet.wait(cutTime);
+    fleet.restoreLinks();
+    fleet.startRouter(1);
+    fleet.wait(6s);
+    expectAllServed(fleet, 1s);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Cuts, QuietCutTest,
+    ::testing::Combine(::testing::Values(CutKind::Refused, CutKind::Silent),
+                       ::testing::Values(kernel::Duration(20ms), kernel::Duration(1s)),
+                       ::testing::Values(kernel::Duration(700ms), kernel::Duration(5s),
+                                         kernel::Duration(15s))),
+    nameOfCut);
+
 INSTANTIATE_TEST_SUITE_P(Moments, CrashingPartTest,
                          ::testing::Combine(::testing::Values(CrashMoment::BeforeHead,
                                                               CrashMoment::AfterHead,
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -88,6 +88,8 @@
     EventInfo{ EventId::UpstreamCold, "UpstreamCold", EventLevel::Info,
         "An upstream may be cold and gets few requests; fields: upstream, data_centre, cold_ms, requests per second "
         "that it bears from all routers." },
+    EventInfo{ EventId::CrashDisproved, "CrashDisproved", EventLevel::Info,
+        "An upstream that was taken for crashed is the same process as before, so its crash counts against nothing; fields: upstream, process." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -53,6 +53,7 @@
     CrashReportNotSent = 3211,
     PromptPartBlamed = 3212,
     UpstreamCold = 3213,
+    CrashDisproved = 3214,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
--- a/src/poison/internal/poisonbook.cpp
+++ b/src/poison/internal/poisonbook.cpp
@@ -159,6 +159,22 @@
     completedAt = std::max(completedAt.value_or(at), at);
 }
 
+bool dropCrashes(PoisonEvidenceSet &book, const kernel::UpstreamId &upstream, WallTime until)
+{
+    bool dropped = false;
+    for (auto &[fingerprint, evidence] : book.evidence) {
+        const auto crashes = evidence.crashTimes.find(upstream);
+        if (crashes == evidence.crashTimes.end())
+            continue;
+        const auto count = std::erase_if(crashes->second,
+                                         [until](const WallTime time) { return time <= until; });
+        dropped = dropped || count > 0;
+        if (crashes->second.empty())
+            evidence.crashTimes.erase(crashes);
+    }
+    return dropped;
+}
+
 int unclearedCrashes(const PoisonEvidenceSet &book, const Fingerprint &fingerprint)
 {
     const auto found = book.evidence.find(fingerprint);
--- a/src/poison/internal/poisonbook.h
+++ b/src/poison/internal/poisonbook.h
@@ -55,6 +55,11 @@
 /// without evidence gets no entry.
 void recordCompletion(PoisonEvidenceSet &book, const Fingerprint &fingerprint, kernel::WallTime at);
 
+/// Removes the crashes of an upstream up to that time from all requests, as it did not crash then.
+/// Returns whether there were any.
+bool dropCrashes(PoisonEvidenceSet &book, const kernel::UpstreamId &upstream,
+                 kernel::WallTime until);
+
 /// Returns the number of crashes of upstreams while they ran the request, since it last ran to
 /// completion.
 int unclearedCrashes(const PoisonEvidenceSet &book, const Fingerprint &fingerprint);
