--- a/src/forwarding/internal/crashes/crashevidence.cpp
+++ b/src/forwarding/internal/crashes/crashevidence.cpp
@@ -293,6 +293,24 @@
            || findBlamedPart(evidence.parts, sharedParts).has_value();
 }
 
+std::optional<PromptPartKey> partToTry(const CrashEvidence &evidence,
+                                       const poison::Fingerprint &fingerprint,
+                                       const std::vector<PromptPartKey> &sharedParts,
+                                       const kernel::VmId &self, kernel::Instant now,
+                                       kernel::WallTime wallNow)
+{
+    if (countCrashes(evidence, fingerprint) >= crashesToRefuse)
+        return std::nullopt;
+    return partToTry(evidence.parts, sharedParts, self, now, wallNow);
+}
+
+bool isTrialUnderWay(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
+                     const std::vector<PromptPartKey> &sharedParts)
+{
+    return countCrashes(evidence, fingerprint) < crashesToRefuse
+           && isTrialUnderWay(evidence.parts, sharedParts);
+}
+
 std::size_t countRefusedRequests(const CrashEvidence &evidence)
 {
     return static_cast<std::size_t>(
--- a/src/forwarding/internal/crashes/crashevidence.h
+++ b/src/forwarding/internal/crashes/crashevidence.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <vector>
 
-#include "forwarding/internal/crashes/partcrashes.h"
+#include "forwarding/internal/crashes/parttrial.h"
 #include "forwarding/internal/crashes/suspectedprocesses.h"
 #include "forwarding/internal/types.h"
 #include "poison/poison.h"
@@ -123,6 +123,17 @@
 /// prompt.
 bool crashesUpstreams(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
                       const std::vector<PromptPartKey> &sharedParts = {});
+/// Returns the blamed part that this router may now try with the request, which is otherwise
+/// refused; nothing if there is none.
+std::optional<PromptPartKey> partToTry(const CrashEvidence &evidence,
+                                       const poison::Fingerprint &fingerprint,
+                                       const std::vector<PromptPartKey> &sharedParts,
+                                       const kernel::VmId &self, kernel::Instant now,
+                                       kernel::WallTime wallNow);
+/// Returns whether a trial that is under way will show whether the request, which is otherwise
+/// refused, can be sent.
+bool isTrialUnderWay(const CrashEvidence &evidence, const poison::Fingerprint &fingerprint,
+                     const std::vector<PromptPartKey> &sharedParts);
 /// Returns the number of requests that are refused because of their crashes.
 std::size_t countRefusedRequests(const CrashEvidence &evidence);
 
--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -148,6 +148,8 @@
     std::erase_if(crashes.shared, [&](const PromptPartKey &key) {
         return !crashes.known.contains(key) && !crashes.own.contains(key);
     });
+    std::erase_if(crashes.reporters,
+                  [&](const auto &item) { return !crashes.known.contains(item.first); });
     for (auto &[service, processes] : crashes.crashed)
         keepNewest(processes, maxCrashedProcesses);
     crashes.isBlameOutdated = true;
@@ -159,6 +161,9 @@
         return {};
     const BlamedParts before = std::exchange(
         crashes.blamed, findBlamedParts(crashes.known, crashes.crashed, crashes.writtenAt));
+    std::erase_if(crashes.trials, [&](const auto &item) {
+        return !item.second.running && !crashes.blamed.parts.contains(item.first);
+    });
     BlameChange change;
     std::ranges::set_difference(crashes.blamed.parts, before.parts,
                                 std::back_inserter(change.blamed));
--- a/src/forwarding/internal/crashes/partcrashes.h
+++ b/src/forwarding/internal/crashes/partcrashes.h
@@ -9,6 +9,15 @@
 
 namespace acaciasail::forwarding {
 
+/// What a router knows of the trials of a blamed part.
+struct PartTrialState
+{
+    /// Time since which this router blames the part.
+    kernel::Instant blamedSince{};
+    /// A request of this router is under way as a trial.
+    bool running = false;
+};
+
 /// A router's knowledge of prompt parts and the crashes of upstreams.
 struct PartCrashes
 {
@@ -31,6 +40,9 @@
     /// The router's own evidence has changes that were not shared yet.
     bool hasUnsharedEvidence = false;
     BlamedParts blamed;
+    /// The other routers that told of crashes of requests with a part.
+    std::map<PromptPartKey, std::set<kernel::VmId>> reporters;
+    std::map<PromptPartKey, PartTrialState> trials;
     /// The evidence changed since `blamed` was determined.
     bool isBlameOutdated = false;
 };
--- a/src/forwarding/internal/crashes/partevidence.cpp
+++ b/src/forwarding/internal/crashes/partevidence.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t maxTrackedParts = 1024;
 constexpr std::size_t maxCrashesOfPart = 32;
 constexpr std::size_t maxRequestsOfPart = 4;
+constexpr std::size_t maxTrialsOfPart = 4;
 // A sound part that was blamed would stay blamed for this time, unless one of its requests that
 // are in progress completes.
 constexpr kernel::Duration partEvidenceLifetime = std::chrono::hours(1);
@@ -153,6 +154,8 @@
 {
     while (evidence.requests.size() > maxRequestsOfPart)
         evidence.requests.erase(std::prev(evidence.requests.end()));
+    while (evidence.trials.size() > maxTrialsOfPart)
+        evidence.trials.erase(evidence.trials.begin());
     while (evidence.crashes.size() > maxCrashesOfPart) {
         evidence.crashes.erase(std::ranges::min_element(
             evidence.crashes, {}, [](const auto &item) { return item.second; }));
@@ -167,6 +170,7 @@
         known->second = std::min(known->second, time);
     }
     evidence.requests.insert(other.requests.begin(), other.requests.end());
+    evidence.trials.insert(other.trials.begin(), other.trials.end());
     evidence.completedAt = std::max(evidence.completedAt, other.completedAt);
     limitSize(evidence);
     return evidence != before;
--- a/src/forwarding/internal/crashes/partevidence.h
+++ b/src/forwarding/internal/crashes/partevidence.h
@@ -20,6 +20,9 @@
     /// Time at which a request with the part last ran to completion. Crashes up to that time don't
     /// count.
     std::optional<kernel::WallTime> completedAt;
+    /// Times at which a request with the part was sent although the part was blamed, to see whether
+    /// it still crashes upstreams; only the last few are kept.
+    std::set<kernel::WallTime> trials;
 
     friend bool operator==(const PartEvidence &, const PartEvidence &) = default;
 };
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -283,6 +283,7 @@
 
 void Forwarder::mergeCrashEvidence(const kernel::VmId &from, const CrashReport &received)
 {
+    recordReporter(m_state.crashes.parts, from, received.parts);
     if (!forwarding::mergeCrashEvidence(m_state.crashes, received, m_state.scheduler.now()))
         return;
     reviewBlamedParts();
@@ -438,6 +439,7 @@
 void Forwarder::reviewBlamedParts()
 {
     const BlameChange change = updateBlame(m_state.crashes.parts);
+    recordBlame(m_state.crashes.parts, change.blamed, m_state.scheduler.now());
     logBlamedParts(m_state, change);
     if (!change.blamed.empty())
         endCrashingRequests();
--- a/src/forwarding/internal/request/job.cpp
+++ b/src/forwarding/internal/request/job.cpp
@@ -27,6 +27,9 @@
 // as late as this.
 constexpr kernel::Duration likelySoundWritingTime = std::chrono::milliseconds(500);
 constexpr kernel::Duration soundWritingTime = std::chrono::seconds(2);
+// A trial of a part shows in this time whether the part crashes upstreams.
+constexpr kernel::Duration maxTrialWait = std::chrono::seconds(4);
+constexpr kernel::Duration trialCheckInterval = std::chrono::milliseconds(100);
 // Random time that is added to the remaining cooldown (0 if there is none) to give the retry-after
 // time, so that callers do not return at the same time.
 constexpr double retryAfterMinSeconds = 0.2;
@@ -409,10 +412,41 @@
     return crashesUpstreams(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts);
 }
 
+bool Job::isRefused() const
+{
+    return isPoison() && (!m_trial || m_trial->isSent());
+}
+
+bool Job::startTrial()
+{
+    if (m_trial)
+        return true;
+    const auto part = partToTry(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts,
+                                m_state.options.vm, now(), m_state.scheduler.wallNow());
+    if (!part)
+        return false;
+    m_trial.emplace(m_state.crashes.parts, *part);
+    logPartTried(m_request, *part);
+    return true;
+}
+
+bool Job::waitForTrial()
+{
+    const bool hasTime = now() - m_request.arrived < maxTrialWait
+                         && timeLeft() > minAttemptTime + trialCheckInterval;
+    if (!hasTime || !isTrialUnderWay(m_state.crashes, m_plan.fingerprint, m_plan.sharedParts))
+        return false;
+    m_roomTimer = kernel::Timer(m_state.scheduler, trialCheckInterval, [this] {
+        const auto self = shared_from_this();
+        startNextAttempt();
+    });
+    return true;
+}
+
 void Job::onCrashEvidence()
 {
     const auto self = shared_from_this();
-    if (m_done || !m_attempt || !m_exchange || m_attempt->head || !isPoison())
+    if (m_done || m_trial || !m_attempt || !m_exchange || m_attempt->head || !isPoison())
         return;
     logPoisonRefused(m_state, m_request, m_plan);
     finishAttempt(AttemptOutcome::Cancelled);
@@ -470,7 +504,7 @@
         passOnKeptResponse(toString(failure));
         return;
     }
-    if (isPoison()) {
+    if (isRefused()) {
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
         return;
@@ -554,6 +588,7 @@
     stopAttemptTimers();
     m_roomTimer.cancel();
     m_exchange = nullptr;
+    m_trial.reset();
     dropKeptResponse(AttemptOutcome::Cancelled);
     leaveServiceQueue();
     reportFinish(m_state, m_request, m_plan,
--- a/src/forwarding/internal/request/job.h
+++ b/src/forwarding/internal/request/job.h
@@ -190,6 +190,12 @@
     bool isUpstreamLeaving(const kernel::UpstreamId &upstream) const;
     // Returns whether upstreams crash when they run the request.
     bool isPoison() const;
+    // Returns whether the request must not be sent, or not once more.
+    bool isRefused() const;
+    // Makes the request a trial of a part of its prompt if one is due; returns whether it is one.
+    bool startTrial();
+    // Waits for the end of a trial of a part of its prompt; returns whether the request waits.
+    bool waitForTrial();
     // Records an attempt that finished without a response as evidence on crashes.
     void recordPossibleCrash(const Attempt &attempt, AttemptOutcome outcome);
     void recordCompleteResponse();
@@ -259,6 +265,8 @@
     // An attempt was started anew because the process was held up.
     bool m_restarted = false;
     bool m_escalated = false;
+    // Set if the request is sent to try a blamed part of its prompt.
+    std::optional<PartTrial> m_trial;
     bool m_done = false;
 };
 
--- a/src/forwarding/internal/request/jobattempt.cpp
+++ b/src/forwarding/internal/request/jobattempt.cpp
@@ -215,7 +215,9 @@
 {
     if (endIfCallerLeft())
         return;
-    if (isPoison()) {
+    if (isPoison() && !startTrial()) {
+        if (waitForTrial())
+            return;
         logPoisonRefused(m_state, m_request, m_plan);
         finishWithoutResponse(EndReason::Failed, "crashes_upstreams");
         return;
@@ -293,6 +295,8 @@
     m_retryReserved = false;
     m_attempt->sent = true;
     m_attempt->lastActivity = now();
+    if (m_trial && !m_trial->isSent())
+        m_trial->recordSent(m_state.scheduler.wallNow());
     armInactivityTimers();
 }
 
--- a/src/forwarding/internal/request/requestplan.cpp
+++ b/src/forwarding/internal/request/requestplan.cpp
@@ -133,7 +133,10 @@
         plan.meanWork = meanWork(recent);
     }
     plan.fingerprint = poison::makeFingerprint(plan.workspace, request.target, request.body);
-    if (crashesUpstreams(state.crashes, plan.fingerprint, plan.sharedParts)) {
+    if (crashesUpstreams(state.crashes, plan.fingerprint, plan.sharedParts)
+        && !isTrialUnderWay(state.crashes, plan.fingerprint, plan.sharedParts)
+        && !partToTry(state.crashes, plan.fingerprint, plan.sharedParts, state.options.vm,
+                      state.scheduler.now(), state.scheduler.wallNow())) {
         logPoisonRefused(state, request, plan);
         return Refusal{ finalStatus({ .mayHaveRun = true }, EndReason::Failed),
                         "crashes_upstreams" };
--- a/src/forwarding/internal/request/requestreport.cpp
+++ b/src/forwarding/internal/request/requestreport.cpp
@@ -161,6 +161,13 @@
                        { "prompt_part", blamed ? blamed->part : "" } });
 }
 
+void logPartTried(const Request &request, const PromptPartKey &part)
+{
+    kernel::logEvent(
+        kernel::EventId::PromptPartTried,
+        { { "request", request.id }, { "service", part.service }, { "part", part.part } });
+}
+
 void logAdmission(ForwardingState &state, const Request &request, const RequestPlan &plan,
                   const admission::AdmissionDecision &decision, kernel::Duration waited)
 {
--- a/src/forwarding/internal/request/requestreport.h
+++ b/src/forwarding/internal/request/requestreport.h
@@ -53,6 +53,8 @@
 /// Counts and logs the prompt parts that are found to crash upstreams, or no longer.
 void logBlamedParts(ForwardingState &state, const BlameChange &change);
 
+/// Logs that a request is sent to try a blamed part of its prompt.
+void logPartTried(const Request &request, const PromptPartKey &part);
 /// Logs that a request is refused because upstreams crashed while they ran it.
 void logPoisonRefused(const ForwardingState &state, const Request &request,
                       const RequestPlan &plan);
--- a/src/forwarding/tests/crashingpart_tests.cpp
+++ b/src/forwarding/tests/crashingpart_tests.cpp
@@ -242,6 +242,42 @@
                                          kernel::Duration(15s))),
     nameOfCut);
 
+class QuietCrashTest
+    : public ::testing::TestWithParam<std::tuple<std::size_t, kernel::Duration, kernel::Duration>>
+{};
+
+std::string nameOfCrash(const ::testing::TestParamInfo<QuietCrashTest::ParamType> &info)
+{
+    const auto [upstreams, written, interval] = info.param;
+    return std::to_string(upstreams) + "UpstreamsEach"
+           + std::to_string(kernel::toMilliseconds(interval)) + "MsAfter"
+           + std::to_string(kernel::toMilliseconds(written)) + "Ms";
+}
+
+// Guards against the blame of the part that all requests share where upstreams end for reasons of
+// their own: as nothing with the part ran any more, nothing could clear it.
+TEST_P(QuietCrashTest, BlameOfTheSharedPartEnds)
+{
+    const auto [upstreams, written, interval] = GetParam();
+    CrashingFleet fleet(quietFleet(upstreams));
+    fleet.serve(0, firstStreams, written);
+    for (std::size_t i = 0; i < upstreams; ++i) {
+        fleet.crashUpstreams(1);
+        fleet.wait(interval);
+    }
+    fleet.wait(6s);
+    fleet.startRouter(1);
+    expectAllServed(fleet, 4s);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Crashes, QuietCrashTest,
+    ::testing::Combine(::testing::Values(4U, 6U, 12U),
+                       ::testing::Values(kernel::Duration(20ms), kernel::Duration(1s)),
+                       ::testing::Values(kernel::Duration::zero(), kernel::Duration(300ms),
+                                         kernel::Duration(700ms))),
+    nameOfCrash);
+
 INSTANTIATE_TEST_SUITE_P(Moments, CrashingPartTest,
                          ::testing::Combine(::testing::Values(CrashMoment::BeforeHead,
                                                               CrashMoment::AfterHead,
--- a/src/forwarding/tests/partevidence_tests.cpp
+++ b/src/forwarding/tests/partevidence_tests.cpp
@@ -235,3 +235,96 @@
     EXPECT_TRUE(crashes.known.empty());
     EXPECT_TRUE(blamedParts(crashes).empty());
 }
+
+namespace {
+
+const kernel::VmId self("vm-2");
+
+// A router that saw all four crashes, and blames the part from the fourth second on.
+PartCrashes blamingRouter()
+{
+    PartCrashes crashes;
+    for (int i = 0; i < 4; ++i)
+        recordCrashOf(crashes, { "shared" }, processName(i), "r" + std::to_string(i),
+                      std::chrono::seconds(i));
+    recordBlame(crashes, updateBlame(crashes).blamed, at(4s));
+    return crashes;
+}
+
+bool mayTry(const PartCrashes &crashes, kernel::Duration time,
+            const std::vector<PromptPartKey> &parts = { part("shared"), part("fresh") })
+{
+    return partToTry(crashes, parts, self, at(time), wall(time)) == part("shared");
+}
+
+} // namespace
+
+TEST(PartTrial, BlamedPartIsTriedTwiceAtMost)
+{
+    PartCrashes crashes = blamingRouter();
+    EXPECT_FALSE(mayTry(crashes, 4500ms)) << "other routers may clear it";
+    ASSERT_TRUE(mayTry(crashes, 5s));
+    {
+        PartTrial trial(crashes, part("shared"));
+        EXPECT_FALSE(mayTry(crashes, 5s));
+        EXPECT_TRUE(isTrialUnderWay(crashes, { part("shared"), part("fresh") }));
+    }
+    ASSERT_TRUE(mayTry(crashes, 6s)) << "it was not sent";
+    PartTrial(crashes, part("shared")).recordSent(wall(6s));
+    EXPECT_FALSE(isTrialUnderWay(crashes, { part("shared") }));
+    EXPECT_FALSE(mayTry(crashes, 20s));
+    ASSERT_TRUE(mayTry(crashes, 21s));
+    PartTrial(crashes, part("shared")).recordSent(wall(21s));
+    EXPECT_FALSE(mayTry(crashes, 10min));
+}
+
+TEST(PartTrial, RequestWithAnotherSuspectIsNoTrial)
+{
+    PartCrashes crashes = blamingRouter();
+    for (int i = 0; i < 3; ++i)
+        recordCrashOf(crashes, { "other" }, processName(i), "o" + std::to_string(i),
+                      std::chrono::seconds(i));
+    recordCrashOf(crashes, { "rare" }, processName(0), "rare", 0s);
+    updateBlame(crashes);
+    EXPECT_FALSE(mayTry(crashes, 8s, { part("shared"), part("other") }));
+    EXPECT_TRUE(mayTry(crashes, 8s, { part("shared"), part("rare") }));
+    EXPECT_FALSE(mayTry(crashes, 8s, { part("fresh") }));
+}
+
+TEST(PartTrial, RoutersTryOneAfterTheOther)
+{
+    PartCrashes crashes = blamingRouter();
+    recordReporter(crashes, kernel::VmId("vm-3"), crashes.known);
+    EXPECT_TRUE(mayTry(crashes, 5s)) << "it comes later";
+    recordReporter(crashes, kernel::VmId("vm-1"), crashes.known);
+    EXPECT_FALSE(mayTry(crashes, 9s));
+    EXPECT_TRUE(mayTry(crashes, 10s)) << "the first one had no request with the part";
+    PartEvidenceSet reported{ { part("shared"), { .trials = { wall(5s) } } } };
+    EXPECT_TRUE(mergeReceivedParts(crashes, reported));
+    EXPECT_FALSE(mayTry(crashes, 20s));
+    EXPECT_TRUE(mayTry(crashes, 25s));
+}
+
+TEST(PartTrial, RouterThatSawNoCrashTriesNothing)
+{
+    const PartCrashes observer = blamingRouter();
+    PartCrashes crashes;
+    mergeReceivedParts(crashes, observer.known);
+    recordBlame(crashes, updateBlame(crashes).blamed, at(4s));
+    EXPECT_EQ(crashes.blamed.parts, std::set{ part("shared") });
+    EXPECT_FALSE(mayTry(crashes, 10min));
+}
+
+TEST(PartTrial, TrialsBeforeACompletedRunDoNotCount)
+{
+    PartCrashes crashes = blamingRouter();
+    PartTrial(crashes, part("shared")).recordSent(wall(6s));
+    PartTrial(crashes, part("shared")).recordSent(wall(21s));
+    recordPartsCompleted(crashes, { part("shared") }, wall(25s));
+    EXPECT_EQ(updateBlame(crashes).cleared, std::vector{ part("shared") });
+    for (int i = 0; i < 4; ++i)
+        recordCrashOf(crashes, { "shared" }, "later" + std::to_string(i), "l" + std::to_string(i),
+                      std::chrono::seconds(100 + i));
+    recordBlame(crashes, updateBlame(crashes).blamed, at(104s));
+    EXPECT_TRUE(mayTry(crashes, 105s));
+}
--- a/src/framework/kernel/internal/eventcatalogue.cpp
+++ b/src/framework/kernel/internal/eventcatalogue.cpp
@@ -90,6 +90,8 @@
         "that it bears from all routers." },
     EventInfo{ EventId::CrashDisproved, "CrashDisproved", EventLevel::Info,
         "An upstream that was taken for crashed is the same process as before, so its crash counts against nothing; fields: upstream, process." },
+    EventInfo{ EventId::PromptPartTried, "PromptPartTried", EventLevel::Info,
+        "A request with a part that is found to crash upstreams is sent, to see whether it still does; fields: request, service, part." },
     EventInfo{ EventId::RowApplied, "RowApplied", EventLevel::Info,
         "A row came into force; fields: key, revision, from whom." },
     EventInfo{ EventId::RowRejected, "RowRejected", EventLevel::Warn,
--- a/src/framework/kernel/internal/events.h
+++ b/src/framework/kernel/internal/events.h
@@ -54,6 +54,7 @@
     PromptPartBlamed = 3212,
     UpstreamCold = 3213,
     CrashDisproved = 3214,
+    PromptPartTried = 3215,
     RowApplied = 4001,
     RowRejected = 4002,
     TableLoaded = 4003,
