Only what changes other routers' evidence is reported

Cause: each router that found a process alive reported it, whether or not it had reported the crash; each probed all such upstreams; and a stream that began before the crashes was reported although it clears none of them. Change: a router takes back only crashes that it had reported, and probes only for what is refused; a run is reported if it clears a crash.

--- a/src/forwarding/internal/crashes/crashevidence.cpp
+++ b/src/forwarding/internal/crashes/crashevidence.cpp
@@ -127,21 +127,32 @@
     }
 }
 
-// Applies that a process was alive; returns whether that is new.
-bool mergeAlive(CrashEvidence &evidence, const kernel::UpstreamId &process, kernel::WallTime at)
+// What follows from the news that a process was alive.
+enum class AliveChange {
+    /// It was known.
+    None,
+    Applied,
+    /// This router had reported a crash of the process and takes it back.
+    TakenBack,
+};
+
+AliveChange mergeAlive(CrashEvidence &evidence, const kernel::UpstreamId &process,
+                       kernel::WallTime at)
 {
     const auto [known, added] = evidence.alive.try_emplace(process, at);
     if (!added && known->second >= at)
-        return false;
+        return AliveChange::None;
     known->second = at;
     evidence.suspected.processes.erase(process);
     poison::dropCrashes(evidence.known, process, at);
-    if (poison::dropCrashes(evidence.own, process, at))
-        evidence.hasUnsharedEvidence = true;
     for (auto &[fingerprint, pending] : evidence.pending)
         pending.evidence.crashTimes.erase(process);
-    recordProcessAlive(evidence.parts, process, at);
-    return true;
+    const bool hadReportedRequest = poison::dropCrashes(evidence.own, process, at);
+    const bool hadReportedPart = recordProcessAlive(evidence.parts, process, at);
+    if (!hadReportedRequest && !hadReportedPart)
+        return AliveChange::Applied;
+    evidence.hasUnsharedEvidence = true;
+    return AliveChange::TakenBack;
 }
 
 void expireAlive(AliveTimes &alive, kernel::WallTime wallNow)
@@ -323,10 +334,8 @@
                         kernel::WallTime wallNow)
 {
     const kernel::WallTime at = toWholeMilliseconds(wallNow);
-    if (!mergeAlive(evidence, process, at))
-        return;
-    evidence.ownAlive[process] = at;
-    evidence.hasUnsharedEvidence = true;
+    if (mergeAlive(evidence, process, at) == AliveChange::TakenBack)
+        evidence.ownAlive[process] = at;
 }
 
 bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received, kernel::Instant now)
@@ -334,7 +343,7 @@
     evidence.known.capacity = maxTrackedRequests;
     bool isNew = false;
     for (const auto &[process, at] : received.alive)
-        isNew |= mergeAlive(evidence, process, at);
+        isNew |= mergeAlive(evidence, process, at) != AliveChange::None;
     CrashReport report = received;
     dropDisprovedCrashes(report, evidence.alive);
     recordSuspicions(evidence.suspected, report, now);
--- a/src/forwarding/internal/crashes/crashevidence.h
+++ b/src/forwarding/internal/crashes/crashevidence.h
@@ -56,7 +56,8 @@
 {
     poison::PoisonEvidenceSet requests;
     PartEvidenceSet parts;
-    /// Processes that the router found alive after they had been taken for crashed, and when.
+    /// Processes whose crashes the router had reported and takes back, and when they were found
+    /// alive.
     AliveTimes alive;
 };
 
@@ -80,7 +81,7 @@
     /// Times at which processes were found alive by any router. Their crashes up to then don't
     /// count.
     AliveTimes alive;
-    /// Those that this router found alive itself, which it shares with the others.
+    /// Those whose crashes this router had reported and takes back.
     AliveTimes ownAlive;
     /// The router's own evidence has changes that were not shared yet.
     bool hasUnsharedEvidence = false;
--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -56,8 +56,14 @@
 void recordCompletion(PartCrashes &crashes, const PromptPartKey &key, kernel::WallTime at)
 {
     const auto known = crashes.known.find(key);
-    if (known == crashes.known.end() || unclearedCrashes(known->second).empty()
-        || known->second.completedAt >= at)
+    if (known == crashes.known.end())
+        return;
+    // What clears no crash is no news for the other routers.
+    const std::optional<kernel::WallTime> &before = known->second.completedAt;
+    const bool clearsCrash = std::ranges::any_of(known->second.crashes, [&](const auto &crash) {
+        return crash.second <= at && (!before || crash.second > *before);
+    });
+    if (!clearsCrash)
         return;
     known->second.completedAt = at;
     crashes.isBlameOutdated = true;
@@ -110,9 +116,12 @@
     limitPartTimes(crashes.writtenAt);
 }
 
-void recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
+bool recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
                         kernel::WallTime until)
 {
+    const bool wasReported = std::ranges::any_of(crashes.own, [&](const auto &item) {
+        return crashes.shared.contains(item.first) && item.second.crashes.contains(process);
+    });
     for (auto &[service, processes] : crashes.crashed) {
         const auto crash = processes.find(process);
         if (crash != processes.end() && crash->second <= until)
@@ -120,8 +129,9 @@
     }
     if (dropCrash(crashes.known, process, until))
         crashes.isBlameOutdated = true;
-    if (dropCrash(crashes.own, process, until))
-        crashes.hasUnsharedEvidence = true;
+    const bool isTakenBack = dropCrash(crashes.own, process, until) && wasReported;
+    crashes.hasUnsharedEvidence = crashes.hasUnsharedEvidence || isTakenBack;
+    return isTakenBack;
 }
 
 bool mergeReceivedParts(PartCrashes &crashes, const PartEvidenceSet &received)
--- a/src/forwarding/internal/crashes/partcrashes.h
+++ b/src/forwarding/internal/crashes/partcrashes.h
@@ -71,8 +71,8 @@
                         kernel::WallTime at);
 
 /// Records that the process did not crash up to that time, so that nothing is held against the
-/// parts of the requests that it ran.
-void recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
+/// parts of the requests that it ran. Returns whether this router had reported such a crash.
+bool recordProcessAlive(PartCrashes &crashes, const kernel::UpstreamId &process,
                         kernel::WallTime until);
 
 /// Merges the evidence of another router; returns whether any of it was new.
--- a/src/forwarding/internal/crashes/suspectedprocesses.cpp
+++ b/src/forwarding/internal/crashes/suspectedprocesses.cpp
@@ -59,7 +59,7 @@
         else if (suspicion.reachedAt && now - *suspicion.reachedAt >= confirmationTime)
             review.alive.push_back(process);
         else if (!suspicion.reachedAt && now - suspicion.learnedAt >= registeredAfterCrash)
-            review.toProbe.push_back(suspicion.upstream);
+            review.toProbe.push_back(process);
     }
     for (const kernel::UpstreamId &process : review.alive)
         suspected.processes.erase(process);
--- a/src/forwarding/internal/crashes/suspectedprocesses.h
+++ b/src/forwarding/internal/crashes/suspectedprocesses.h
@@ -51,7 +51,8 @@
 {
     /// Processes that never ended. They are not suspected any more.
     std::vector<kernel::UpstreamId> alive;
-    /// Upstreams whose process is still registered, and that should be probed.
+    /// Processes that are still registered although crashed ones no longer are, and that were not
+    /// reached yet.
     std::vector<kernel::UpstreamId> toProbe;
 };
 
--- a/src/forwarding/internal/forwarder.cpp
+++ b/src/forwarding/internal/forwarder.cpp
@@ -429,13 +429,15 @@
         kernel::logEvent(kernel::EventId::CrashDisproved,
                          { { "upstream", upstreamOfProcess(process) }, { "process", process } });
     }
-    // Those that can't be reached are probed in any case.
-    std::ranges::copy_if(review.toProbe,
-                         std::inserter(m_state.upstreamsToProbe, m_state.upstreamsToProbe.end()),
-                         [this](const kernel::UpstreamId &id) {
-                             const auto record = m_state.records.find(id);
-                             return record == m_state.records.end() || !record->second.unreachable;
-                         });
+    // Those that can't be reached are probed in any case; probes of all routers are a load, so they
+    // are for what is refused.
+    for (const kernel::UpstreamId &process : review.toProbe) {
+        const kernel::UpstreamId id = upstreamOfProcess(process);
+        const auto record = m_state.records.find(id);
+        const bool isUnreachable = record != m_state.records.end() && record->second.unreachable;
+        if (!isUnreachable && m_state.crashes.parts.blamed.processes.contains(process))
+            m_state.upstreamsToProbe.insert(id);
+    }
 }
 
 void Forwarder::reviewBlamedParts()
--- a/src/forwarding/tests/partevidence_tests.cpp
+++ b/src/forwarding/tests/partevidence_tests.cpp
@@ -135,6 +135,19 @@
     EXPECT_EQ(crashes.completedAt[part("bad")], wall(4s));
 }
 
+// Guards against a report for each stream that began before the crashes: it clears none of them.
+TEST(PartEvidence, RunThatBeganBeforeTheCrashesIsNotShared)
+{
+    PartCrashes crashes;
+    recordFourCrashes(crashes);
+    ASSERT_TRUE(isPartShareDue(crashes, at(5s)));
+    takePartsToShare(crashes);
+    recordPartsCompleted(crashes, { part("shared") }, wall(-1s));
+    EXPECT_FALSE(isPartShareDue(crashes, at(6s)));
+    recordPartsCompleted(crashes, { part("shared") }, wall(2s));
+    EXPECT_TRUE(isPartShareDue(crashes, at(7s)));
+}
+
 TEST(PartEvidence, PartAtFewOfTheCrashesIsNotBlamed)
 {
     PartCrashes crashes;
