A run that clears only the crashes before it leaves the evidence on later ones

What was wrong: found on reading the change, not seen by a caller. A stream that goes on for two seconds clears the crashes up to its first event. Where the part was not shared yet, that dropped all of the router's own evidence on it, the crashes after the first event too, so that the other routers never heard of them. Cause: the drop dates from completed runs, which clear everything that is known. Change: the evidence is dropped once no crash is left uncleared. Evidence: PartEvidence.CrashesAfterARunAreSharedAlthoughItClearedEarlierOnes, red before, green now; the other tests of crashes pass.

--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -67,13 +67,14 @@
         return;
     known->second.completedAt = at;
     crashes.isBlameOutdated = true;
-    if (!crashes.shared.contains(key)) {
+    const bool isShared = crashes.shared.contains(key);
+    if (!isShared && unclearedCrashes(known->second).empty()) {
         crashes.own.erase(key);
         crashes.pending.erase(key);
         return;
     }
-    crashes.own[key].completedAt = known->second.completedAt;
-    crashes.hasUnsharedEvidence = true;
+    crashes.own[key].completedAt = at;
+    crashes.hasUnsharedEvidence = crashes.hasUnsharedEvidence || isShared;
 }
 
 } // namespace
--- a/src/forwarding/tests/partevidence_tests.cpp
+++ b/src/forwarding/tests/partevidence_tests.cpp
@@ -148,6 +148,18 @@
     EXPECT_TRUE(isPartShareDue(crashes, at(7s)));
 }
 
+// Guards against evidence that is dropped unheard because a run cleared only the crashes before it.
+TEST(PartEvidence, CrashesAfterARunAreSharedAlthoughItClearedEarlierOnes)
+{
+    PartCrashes crashes;
+    recordFourCrashes(crashes);
+    recordPartsCompleted(crashes, { part("bad") }, wall(1500ms));
+    ASSERT_TRUE(isPartShareDue(crashes, at(5s)));
+    const PartEvidenceSet shared = takePartsToShare(crashes);
+    ASSERT_TRUE(shared.contains(part("bad")));
+    EXPECT_EQ(unclearedCrashes(shared.at(part("bad"))).size(), 2U);
+}
+
 TEST(PartEvidence, PartAtFewOfTheCrashesIsNotBlamed)
 {
     PartCrashes crashes;
