What stood twice stands once: times of evidence, filtered reports, lower case, whitespace

Change: toWholeMilliseconds() and keepNewest() stand in evidencetimes.h; http::lowerCase() serves heads of callers and upstreams, Connection fields and hosts; one function tells whitespace, and a filled text is found by a search for the run; a report is filtered once on its way in. Behaviour as before.

--- a/src/forwarding/internal/crashes/crashevidence.cpp
+++ b/src/forwarding/internal/crashes/crashevidence.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "forwarding/internal/crashes/evidencetimes.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -51,13 +53,6 @@
         movePendingToOwn(evidence, fingerprint);
 }
 
-// Rounds to the precision of the wire format, so that evidence which returns from other routers
-// compares equal.
-kernel::WallTime toWholeMilliseconds(kernel::WallTime time)
-{
-    return std::chrono::floor<std::chrono::milliseconds>(time);
-}
-
 // Returns whether several upstreams disappeared at about the same time as this run's upstream, and
 // the request may have crashed fewer than half as many upstreams as disappeared.
 bool hasCommonCause(const CrashEvidence &evidence, const LostRun &run)
@@ -106,15 +101,6 @@
     }
 }
 
-// Removes from a report what is known to be no crash.
-void dropDisprovedCrashes(CrashReport &report, const AliveTimes &alive)
-{
-    for (const auto &[process, until] : alive) {
-        poison::dropCrashes(report.requests, process, until);
-        dropCrash(report.parts, process, until);
-    }
-}
-
 void recordSuspicions(SuspectedProcesses &suspected, const CrashReport &report, kernel::Instant now)
 {
     for (const auto &[fingerprint, request] : report.requests.evidence) {
@@ -155,14 +141,40 @@
     return AliveChange::TakenBack;
 }
 
+// Returns whether any of the times was new.
+bool mergeAliveTimes(CrashEvidence &evidence, const AliveTimes &times)
+{
+    bool isNew = false;
+    for (const auto &[process, at] : times)
+        isNew |= mergeAlive(evidence, process, at) != AliveChange::None;
+    return isNew;
+}
+
+// Returns the report without what is known to be no crash.
+CrashReport withoutDisprovedCrashes(CrashReport report, const AliveTimes &alive)
+{
+    for (const auto &[process, until] : alive) {
+        poison::dropCrashes(report.requests, process, until);
+        dropCrash(report.parts, process, until);
+    }
+    return report;
+}
+
+// Merges a report that withoutDisprovedCrashes() returned; returns whether any of it was new.
+bool mergeCrashes(CrashEvidence &evidence, const CrashReport &report, kernel::Instant now)
+{
+    evidence.known.capacity = maxTrackedRequests;
+    recordSuspicions(evidence.suspected, report, now);
+    const bool hasNewRequests = poison::merge(evidence.known, report.requests);
+    return mergeReceivedParts(evidence.parts, report.parts) || hasNewRequests;
+}
+
 void expireAlive(AliveTimes &alive, kernel::WallTime wallNow)
 {
     std::erase_if(alive, [wallNow](const auto &item) {
         return wallNow - item.second > poison::evidenceLifetime;
     });
-    while (alive.size() > maxAliveProcesses)
-        alive.erase(
-            std::ranges::min_element(alive, {}, [](const auto &item) { return item.second; }));
+    keepNewest(alive, maxAliveProcesses);
 }
 
 } // namespace
@@ -340,16 +352,9 @@
 
 bool mergeCrashEvidence(CrashEvidence &evidence, const CrashReport &received, kernel::Instant now)
 {
-    evidence.known.capacity = maxTrackedRequests;
-    bool isNew = false;
-    for (const auto &[process, at] : received.alive)
-        isNew |= mergeAlive(evidence, process, at) != AliveChange::None;
-    CrashReport report = received;
-    dropDisprovedCrashes(report, evidence.alive);
-    recordSuspicions(evidence.suspected, report, now);
-    isNew |= poison::merge(evidence.known, report.requests);
-    isNew |= mergeReceivedParts(evidence.parts, report.parts);
-    return isNew;
+    const bool hasNewAlive = mergeAliveTimes(evidence, received.alive);
+    return mergeCrashes(evidence, withoutDisprovedCrashes(received, evidence.alive), now)
+           || hasNewAlive;
 }
 
 void restoreCrashEvidence(CrashEvidence &evidence, const CrashReport &restored, kernel::Instant now)
@@ -364,10 +369,10 @@
         restored.parts, [&](const auto &item) { return !evidence.parts.own.contains(item.first); });
     if ((lacksRequests || lacksParts) && evidence.sharedAt != kernel::Instant{})
         evidence.hasUnsharedEvidence = true;
-    mergeCrashEvidence(evidence, restored, now);
-    evidence.ownAlive.insert(restored.alive.begin(), restored.alive.end());
-    CrashReport report = restored;
-    dropDisprovedCrashes(report, evidence.alive);
+    mergeAliveTimes(evidence, restored.alive);
+    const CrashReport report = withoutDisprovedCrashes(restored, evidence.alive);
+    mergeCrashes(evidence, report, now);
+    evidence.ownAlive.insert(report.alive.begin(), report.alive.end());
     poison::merge(evidence.own, report.requests);
     mergePartEvidence(evidence.parts.own, report.parts);
 }
--- a/src/forwarding/internal/crashes/partcrashes.cpp
+++ b/src/forwarding/internal/crashes/partcrashes.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/internal/crashes/evidencetimes.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -13,34 +15,12 @@
 // Evidence on a part that isn't completed within this time after a crash is shared.
 constexpr kernel::Duration pendingTime = std::chrono::milliseconds(500);
 
-// Rounds to the precision of the wire format, so that evidence which returns from other routers
-// compares equal.
-kernel::WallTime toWholeMilliseconds(kernel::WallTime time)
-{
-    return std::chrono::floor<std::chrono::milliseconds>(time);
-}
-
 void recordCrashedProcesses(CrashedProcesses &crashed, const PartEvidenceSet &evidence)
 {
     for (const auto &[key, part] : evidence)
         crashed[key.service].insert(part.crashes.begin(), part.crashes.end());
 }
 
-// Keeps the newest entries of a map of times.
-template<class Key>
-void keepNewest(std::map<Key, kernel::WallTime> &times, std::size_t count)
-{
-    if (times.size() <= count)
-        return;
-    std::vector<kernel::WallTime> sorted;
-    sorted.reserve(times.size());
-    for (const auto &[key, time] : times)
-        sorted.push_back(time);
-    const auto oldestKept = sorted.end() - static_cast<std::ptrdiff_t>(count);
-    std::ranges::nth_element(sorted, oldestKept);
-    std::erase_if(times, [limit = *oldestKept](const auto &item) { return item.second < limit; });
-}
-
 void limitPartTimes(PartTimes &times)
 {
     if (times.size() > maxPartTimes)
--- a/src/forwarding/internal/crashes/parttrial.cpp
+++ b/src/forwarding/internal/crashes/parttrial.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "forwarding/internal/crashes/evidencetimes.h"
+
 namespace acaciasail::forwarding {
 
 namespace {
@@ -127,8 +129,7 @@
 void PartTrial::recordSent(kernel::WallTime wallNow)
 {
     m_sent = true;
-    const auto at = std::chrono::floor<std::chrono::milliseconds>(wallNow);
-    const PartEvidenceSet trial{ { m_part, { .trials = { at } } } };
+    const PartEvidenceSet trial{ { m_part, { .trials = { toWholeMilliseconds(wallNow) } } } };
     mergePartEvidence(m_crashes.known, trial);
     mergePartEvidence(m_crashes.own, trial);
     m_crashes.hasUnsharedEvidence = true;
--- a/src/forwarding/internal/request/routematch.cpp
+++ b/src/forwarding/internal/request/routematch.cpp
@@ -1,7 +1,6 @@
 #include "forwarding/internal/request/routematch.h"
 
 #include <algorithm>
-#include <cctype>
 #include <string>
 
 namespace acaciasail::forwarding {
@@ -10,10 +9,7 @@
 
 std::string hostName(std::string_view host)
 {
-    std::string name(host.substr(0, host.find(':')));
-    std::ranges::transform(name, name.begin(),
-                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return name;
+    return http::lowerCase(host.substr(0, host.find(':')));
 }
 
 } // namespace
--- a/src/framework/http/internal/answerparser.cpp
+++ b/src/framework/http/internal/answerparser.cpp
@@ -1,6 +1,5 @@
 #include "http/internal/answerparser.h"
 
-#include <cctype>
 #include <cstdint>
 #include <utility>
 
@@ -28,15 +27,6 @@
 // as many when it goes on with a chunk's size.
 constexpr std::size_t minLastChunkBytes = 5;
 
-std::string toLower(beast::string_view text)
-{
-    std::string result;
-    result.reserve(text.size());
-    for (const char byte : text)
-        result += static_cast<char>(std::tolower(static_cast<unsigned char>(byte)));
-    return result;
-}
-
 // Whether a line in the rest of a head, which begins these bytes, starts with a blank. Such a line
 // once went on with the one before it (RFC 9112, 5.2); it can also be read as a field of its own.
 bool hasFoldedLine(std::string_view bytes)
@@ -86,7 +76,7 @@
     {
         // Trailers are not kept.
         if (!is_header_done())
-            m_head.headers.push_back({ toLower(name), std::string(value) });
+            m_head.headers.push_back({ lowerCase(name), std::string(value) });
     }
 
     void on_header_impl(beast::error_code &code) override
--- a/src/framework/http/internal/message.cpp
+++ b/src/framework/http/internal/message.cpp
@@ -4,7 +4,6 @@
 #include <array>
 #include <cctype>
 #include <charconv>
-#include <utility>
 
 namespace acaciasail::http {
 
@@ -40,6 +39,14 @@
     return found->value;
 }
 
+std::string lowerCase(std::string_view text)
+{
+    std::string result(text);
+    std::ranges::transform(result, result.begin(),
+                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return result;
+}
+
 bool hasControlByte(std::string_view text)
 {
     return std::ranges::any_of(text,
@@ -72,11 +79,7 @@
                 option.remove_prefix(1);
             while (!option.empty() && option.back() == ' ')
                 option.remove_suffix(1);
-            std::string name(option);
-            std::ranges::transform(name, name.begin(), [](unsigned char c) {
-                return static_cast<char>(std::tolower(c));
-            });
-            m_named.insert(std::move(name));
+            m_named.insert(lowerCase(option));
         }
     }
 }
--- a/src/framework/http/internal/message.h
+++ b/src/framework/http/internal/message.h
@@ -26,6 +26,9 @@
 /// Number of headers of that name (lower case).
 std::size_t countHeaders(const Headers &headers, std::string_view name);
 
+/// The text with ASCII letters in lower case, as names of header fields and hosts are compared.
+std::string lowerCase(std::string_view text);
+
 /// Whether a text has a control byte; a tab, which headers may have, counts as none.
 bool hasControlByte(std::string_view text);
 
--- a/src/framework/http/internal/requesthead.cpp
+++ b/src/framework/http/internal/requesthead.cpp
@@ -1,7 +1,5 @@
 #include "http/internal/requesthead.h"
 
-#include <cctype>
-
 #include <http_parser.h>
 
 namespace acaciasail::http {
@@ -32,9 +30,7 @@
     if (reading.readingValue || reading.request.headers.empty())
         reading.request.headers.emplace_back();
     reading.readingValue = false;
-    for (std::size_t i = 0; i < length; ++i)
-        reading.request.headers.back().name
-            += static_cast<char>(std::tolower(static_cast<unsigned char>(at[i])));
+    reading.request.headers.back().name += lowerCase({ at, length });
     return 0;
 }
 
--- a/src/framework/http/internal/server.cpp
+++ b/src/framework/http/internal/server.cpp
@@ -1,7 +1,5 @@
 #include "http/internal/server.h"
 
-#include <algorithm>
-#include <cctype>
 #include <unordered_map>
 #include <utility>
 
@@ -34,13 +32,6 @@
     return buffer.base == nullptr ? std::string() : std::string(buffer.base, buffer.len);
 }
 
-std::string lowerCase(std::string text)
-{
-    std::ranges::transform(text, text.begin(),
-                           [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
-    return text;
-}
-
 ServerRequest readRequest(h2o_req_t *request)
 {
     ServerRequest result;
--- a/src/framework/json/internal/jsontext.cpp
+++ b/src/framework/json/internal/jsontext.cpp
@@ -40,27 +40,22 @@
     return c == ' ' || c == '\n' || c == '\r' || c == '\t';
 }
 
-// What is known of a text before it is parsed.
-struct TextShape
+bool isTooDeep(std::string_view text)
 {
-    bool isTooDeep = false;
-    // The text has more whitespace in a row than any writer needs.
-    bool isFilled = false;
-};
-
-TextShape inspect(std::string_view text)
-{
-    constexpr std::size_t maxWhitespace = 1024;
-    TextShape shape;
     JsonScanner scanner;
-    std::size_t whitespaceInRow = 0;
-    for (const char c : text) {
+    return std::ranges::any_of(text, [&scanner](char c) {
         scanner.advance(c);
-        whitespaceInRow = isWhitespace(c) ? whitespaceInRow + 1 : 0;
-        shape.isTooDeep = shape.isTooDeep || scanner.depth > maxDepth;
-        shape.isFilled = shape.isFilled || whitespaceInRow > maxWhitespace;
-    }
-    return shape;
+        return scanner.depth > maxDepth;
+    });
+}
+
+// Returns whether the text has more whitespace in a row than any writer needs.
+bool isFilled(std::string_view text)
+{
+    constexpr int maxWhitespace = 1024;
+    const auto isAnyWhitespace = [](char c, bool) { return isWhitespace(c); };
+    return std::search_n(text.begin(), text.end(), maxWhitespace + 1, true, isAnyWhitespace)
+           != text.end();
 }
 
 // Returns the text with one blank in place of each run of whitespace outside of strings.
@@ -85,10 +80,9 @@
 // an error with all whitespace before it, which takes it long for a filled text.
 Json parseBounded(std::string_view text)
 {
-    const TextShape shape = inspect(text);
-    if (shape.isTooDeep)
+    if (isTooDeep(text))
         return Json(Json::value_t::discarded);
-    return shape.isFilled ? Json::parse(withoutFilling(text), nullptr, false)
+    return isFilled(text) ? Json::parse(withoutFilling(text), nullptr, false)
                           : Json::parse(text, nullptr, false);
 }
 
@@ -130,10 +124,11 @@
 
 std::string_view trimmed(std::string_view text)
 {
-    constexpr std::string_view whitespace = " \t\r\n";
-    const std::size_t first = std::min(text.find_first_not_of(whitespace), text.size());
-    text.remove_prefix(first);
-    return text.substr(0, text.find_last_not_of(whitespace) + 1);
+    while (!text.empty() && isWhitespace(text.front()))
+        text.remove_prefix(1);
+    while (!text.empty() && isWhitespace(text.back()))
+        text.remove_suffix(1);
+    return text;
 }
 
 bool isAscii(char c)
