--- a/src/forwarding/internal/state.cpp
+++ b/src/forwarding/internal/state.cpp
@@ -150,6 +150,16 @@
 
 } // namespace
 
+std::optional<kernel::UpstreamId> registeredProcess(const Directory &directory,
+                                                    const kernel::UpstreamId &id)
+{
+    const auto known = directory.upstreams.find(id);
+    if (known == directory.upstreams.end() || known->second.removalDueAt
+        || known->second.entry.startedAtMs == 0)
+        return std::nullopt;
+    return processIdOf(known->second.entry);
+}
+
 std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
                                                  const kernel::ServiceName &service,
                                                  VersionChoice version)
--- a/src/forwarding/internal/state.h
+++ b/src/forwarding/internal/state.h
@@ -133,6 +133,12 @@
                                      const kernel::ServiceName &service,
                                      const std::vector<const Upstream *> &candidates);
 
+/// Returns the id of the process that is registered for the upstream, as processIdOf() does;
+/// nothing if its registration may be gone, or doesn't tell the start time that sets it apart from
+/// its successor.
+std::optional<kernel::UpstreamId> registeredProcess(const Directory &directory,
+                                                    const kernel::UpstreamId &id);
+
 /// Returns the upstreams of a service that a request may be sent to, according to their versions,
 /// their drain states and the evacuated data centres.
 std::vector<const Upstream *> candidateUpstreams(const Directory &directory,
